--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks and measurements."""
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The demonstration that make demo runs."""
--- /dev/null
+++ b/demo/fleet.py
@@ -0,0 +1,216 @@
+"""Starts a small fleet as plain processes on loopback addresses.
+
+This script stands outside of the product: processes of the product start no others.
+"""
+
+import json
+import secrets
+import signal
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+import trio
+
+from kumquatsaddle.dispatch.connections import ExchangeError, open_connection
+from kumquatsaddle.settings.parsers import Address
+
+__all__ = ["BackendProcess", "Fleet", "call_http"]
+
+_START_TIMEOUT = 10.0
+_STOP_TIMEOUT = 20.0
+_PORTS = {"callers": 8000, "control": 8001, "operators": 8002}
+_MAX_BODY = 1 << 24
+
+_SETTINGS = """\
+[instance]
+id = {name}
+zone = {zone}
+region = west
+
+[listen]
+callers = {host}:{callers}
+control = {host}:{control}
+operators = {host}:{operators}
+
+[platform]
+kind = http
+url = http://{platform}
+poll_interval = 1 s
+
+[secrets]
+control_key_files = {key_file}
+operator_token_file = {token_file}
+
+[membership]
+probe_interval = 0.2 s
+suspicion_timeout = 1 s
+
+[stop]
+notice = 0.5 s
+{extra}
+"""
+
+
+class BackendProcess:
+    """Name, service, zone and address of a backend server process."""
+
+    def __init__(self, name, service, zone, address):
+        self.name = name
+        self.service = service
+        self.zone = zone
+        self.address = address
+
+
+class Fleet:
+    """The processes of a small fleet.
+
+    Parameters
+    ----------
+    network : int
+        Third number of the loopback addresses, ``127.0.<network>.x``.
+    """
+
+    def __init__(self, network=1, verbose=False):
+        self._network = network
+        self._folder = tempfile.TemporaryDirectory(prefix="kumquatsaddle-")
+        self.folder = Path(self._folder.name)
+        self._verbose = verbose
+        self.processes = {}
+        self.platform = Address(self._host(250), 9000)
+        self.key_file = self._write("control.key", secrets.token_hex(32))
+        self.token_file = self._write("operator.token", secrets.token_hex(16))
+        self.extra_settings = ""
+
+    async def start_platform(self):
+        """Start the stand-in of the platform."""
+        self._start("platform", "standins.platform", f"--listen={self.platform}")
+        await self.wait_for(self.platform)
+
+    async def start_backend(self, index, name, service, zone, work=0.02):
+        """Start a backend server and put it into the list of instances."""
+        address = Address(self._host(100 + index), 7000)
+        self._start(
+            name,
+            "standins.backend",
+            f"--name={name}",
+            f"--listen={address}",
+            f"--work={work}",
+        )
+        await self.wait_for(address)
+        backend = BackendProcess(name, service, zone, address)
+        await self.list_backend(backend)
+        return backend
+
+    async def list_backend(self, backend, leaving=False):
+        """Write a backend server into the platform's list."""
+        await self.list_instance(
+            name=backend.name,
+            role="backend",
+            service=backend.service,
+            address=str(backend.address),
+            zone=backend.zone,
+            region="west",
+            leaving=leaving,
+        )
+
+    async def list_instance(self, **entry):
+        """Write an entry into the platform's list of instances."""
+        await call_http(self.platform, "PUT", "/.instances", json.dumps(entry))
+
+    async def start_node(self, index, zone):
+        """Start an entry instance and return its address for callers."""
+        name, host = f"entry-{index}", self._host(10 + index)
+        await self.list_instance(
+            name=name,
+            role="entry",
+            service="",
+            address=f"{host}:{_PORTS['control']}",
+            zone=zone,
+            region="west",
+        )
+        text = _SETTINGS.format(
+            name=name,
+            zone=zone,
+            host=host,
+            platform=self.platform,
+            key_file=self.key_file,
+            token_file=self.token_file,
+            extra=self.extra_settings,
+            **_PORTS,
+        )
+        settings = self._write(f"{name}.ini", text)
+        level = "INFO" if self._verbose else "WARNING"
+        self._start(
+            name,
+            "kumquatsaddle.commands.node",
+            f"--settings={settings}",
+            f"--log-level={level}",
+        )
+        address = Address(host, _PORTS["callers"])
+        await self.wait_for(address)
+        return address
+
+    def send_signal(self, name, number):
+        """Send a signal to a process by name."""
+        self.processes[name].send_signal(number)
+
+    async def wait_for(self, address):
+        """Wait until an address accepts connections."""
+        with trio.fail_after(_START_TIMEOUT):
+            while True:
+                try:
+                    connection = await open_connection(address, 1.0)
+                    await connection.close()
+                    return
+                except ExchangeError:
+                    await trio.sleep(0.05)
+
+    async def wait_for_exit(self, name, timeout=_STOP_TIMEOUT):
+        """Wait until a process has ended; return its exit code."""
+        with trio.fail_after(timeout):
+            while self.processes[name].poll() is None:
+                await trio.sleep(0.02)
+        return self.processes[name].returncode
+
+    def stop(self):
+        """End all processes at once and remove the files."""
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self.processes.values():
+            process.wait()
+        self._folder.cleanup()
+
+    def _host(self, number):
+        return f"127.0.{self._network}.{number}"
+
+    def _write(self, name, text):
+        path = self.folder / name
+        path.write_text(text)
+        return path
+
+    def _start(self, name, module, *arguments):
+        command = [sys.executable, "-m", module, *arguments]
+        self.processes[name] = subprocess.Popen(command)
+
+
+async def call_http(address, method, target, body="", headers=(), timeout=10.0):
+    """Send one HTTP request on a new connection.
+
+    Returns
+    -------
+    RawAnswer
+    """
+    data = body.encode() if isinstance(body, str) else body
+    fields = [("Host", str(address)), *headers, ("Content-Length", str(len(data)))]
+    connection = await open_connection(address, timeout)
+    try:
+        with trio.fail_after(timeout):
+            return await connection.exchange(
+                method, target, fields, data, _MAX_BODY, lambda: None
+            )
+    finally:
+        await connection.close()
--- /dev/null
+++ b/kumquatsaddle/addresses/__init__.py
@@ -0,0 +1,18 @@
+"""Which instance is home of which backend servers, and the answer to callers."""
+
+from kumquatsaddle.addresses.answers import AddressEntry, answer_addresses
+from kumquatsaddle.addresses.groups import Backend, Group, plan_groups
+from kumquatsaddle.addresses.homes import HomeCandidate, assign_homes
+from kumquatsaddle.addresses.placement import Placement, make_placement
+
+__all__ = [
+    "AddressEntry",
+    "Backend",
+    "Group",
+    "HomeCandidate",
+    "Placement",
+    "answer_addresses",
+    "assign_homes",
+    "make_placement",
+    "plan_groups",
+]
--- /dev/null
+++ b/kumquatsaddle/addresses/homes.py
@@ -0,0 +1,92 @@
+"""Assigns each home group to one instance.
+
+References
+----------
+Mirrokni, Thorup and Zadimoghaddam, Consistent Hashing with Bounded Loads, 2018.
+Thaler and Ravishankar, Using Name-Based Mappings to Increase Hit Rates, 1998.
+"""
+
+from dataclasses import dataclass
+
+from kumquatsaddle.addresses.scores import combine_scores, hash_name
+from kumquatsaddle.types import InstanceId, RegionId, ZoneId
+
+__all__ = ["HomeCandidate", "assign_homes"]
+
+# Highest load of an instance over the mean of its zone. A lower bound moves more
+# groups when instances come and go; a higher one loads instances more unevenly.
+_LOAD_BOUND = 1.25
+
+
+@dataclass(frozen=True, slots=True)
+class HomeCandidate:
+    """An instance that may be home of groups."""
+
+    name: InstanceId
+    zone: ZoneId
+    region: RegionId
+
+
+def assign_homes(groups, candidates, load_bound=_LOAD_BOUND):
+    """Assign every group to an instance of its zone, else of its region.
+
+    Parameters
+    ----------
+    groups : iterable of Group
+    candidates : iterable of HomeCandidate
+    load_bound : float, default=1.25
+        Highest load over the mean; the load of a group is its number of members. At
+        least the mean and the largest group is always allowed.
+
+    Returns
+    -------
+    dict of GroupId to InstanceId
+        Groups of a region without a candidate are absent.
+    """
+    by_zone, by_region = {}, {}
+    for candidate in sorted(candidates, key=lambda entry: entry.name):
+        by_zone.setdefault((candidate.region, candidate.zone), []).append(candidate)
+        by_region.setdefault(candidate.region, []).append(candidate)
+    pools = {}
+    for group in groups:
+        zone = (group.region, group.zone)
+        place = zone if zone in by_zone else (group.region, None)
+        pools.setdefault(place, []).append(group)
+    homes = {}
+    for (region, zone), members in pools.items():
+        pool = by_zone[region, zone] if zone is not None else by_region.get(region)
+        if pool:
+            homes.update(_assign_pool(members, pool, load_bound))
+    return homes
+
+
+def _assign_pool(groups, pool, load_bound):
+    total = sum(len(group.members) for group in groups)
+    mean = total / len(pool)
+    # With few groups an instance the factor alone leaves no choice, and one instance
+    # less moves groups of all others.
+    capacity = max(load_bound * mean, mean + max(len(g.members) for g in groups))
+    hashes = {candidate.name: hash_name(candidate.name) for candidate in pool}
+    loads = dict.fromkeys(hashes, 0)
+    homes = {}
+    for group in sorted(groups, key=lambda entry: hash_name(entry.name)):
+        weight = len(group.members)
+        name = _choose_instance(group, weight, hashes, loads, capacity)
+        loads[name] += weight
+        homes[group.name] = name
+    return homes
+
+
+def _choose_instance(group, weight, hashes, loads, capacity):
+    digest = hash_name(group.name)
+    best, best_score = None, -1
+    for name, value in hashes.items():
+        if loads[name] + weight <= capacity:
+            score = combine_scores(digest, value)
+            if score > best_score:
+                best, best_score = name, score
+    if best is not None:
+        return best
+    return min(
+        hashes, key=lambda name: (loads[name], -combine_scores(digest, hashes[name]))
+    )
--- /dev/null
+++ b/kumquatsaddle/addresses/placement.py
@@ -0,0 +1,71 @@
+"""The placement: groups, homes and members of every service, seen by one instance."""
+
+from kumquatsaddle.addresses.groups import plan_groups
+from kumquatsaddle.addresses.homes import assign_homes
+
+__all__ = ["Placement", "make_placement"]
+
+
+class Placement:
+    """Groups and their homes.
+
+    Parameters
+    ----------
+    groups : dict of GroupId to Group
+    homes : dict of GroupId to InstanceId
+    """
+
+    def __init__(self, groups, homes):
+        self.groups = groups
+        self.homes = homes
+        self._by_service = {}
+        for name, group in groups.items():
+            self._by_service.setdefault(group.service, []).append(name)
+
+    def groups_of(self, instance):
+        """Return the groups whose home is `instance`."""
+        return [
+            self.groups[name] for name, home in self.homes.items() if home == instance
+        ]
+
+    def homes_of(self, service):
+        """Return the weight of each home of a service.
+
+        Returns
+        -------
+        dict of InstanceId to int
+            Number of backend servers at each home.
+        """
+        weights = {}
+        for name in self._by_service.get(service, ()):
+            home = self.homes.get(name)
+            if home is not None:
+                members = len(self.groups[name].members)
+                weights[home] = weights.get(home, 0) + members
+        return weights
+
+
+def make_placement(services, backends, candidates):
+    """Derive the placement.
+
+    Parameters
+    ----------
+    services : iterable of Service
+    backends : iterable of Backend
+    candidates : iterable of HomeCandidate
+
+    Returns
+    -------
+    Placement
+    """
+    by_service = {}
+    for backend in backends:
+        by_service.setdefault(backend.service, []).append(backend)
+    groups = {}
+    for service in services:
+        members = by_service.get(service.name)
+        if members:
+            planned = plan_groups(service.name, members, service.floor)
+            groups.update((group.name, group) for group in planned)
+    homes = assign_homes(groups.values(), candidates)
+    return Placement(groups, homes)
--- /dev/null
+++ b/kumquatsaddle/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The binaries, one duty each."""
--- /dev/null
+++ b/kumquatsaddle/dispatch/connections.py
@@ -0,0 +1,203 @@
+"""HTTP/1.1 connections to backend servers, parsed by h11.
+
+An exchange tells exactly how far it came: whether a byte of the request can have
+reached the server, and whether the answer is whole. An answer that is delimited only
+by the end of the connection counts as truncated, because its end cannot be told from
+a cut.
+"""
+
+import h11
+import trio
+
+from kumquatsaddle.exceptions import KumquatsaddleError
+from kumquatsaddle.types import RefusalReason
+
+__all__ = ["BackendConnection", "ExchangeError", "RawAnswer", "open_connection"]
+
+_READ_BYTES = 65536
+_MAX_HEAD_BYTES = 65536
+# Hop-by-hop headers (RFC 9110, section 7.6.1) and those that h11 frames itself.
+HOP_HEADERS = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    }
+)
+
+
+class ExchangeError(KumquatsaddleError):
+    """An exchange with a backend server failed.
+
+    Parameters
+    ----------
+    reason : RefusalReason
+    written : bool
+        Whether a byte of the request can have reached the server.
+    """
+
+    def __init__(self, reason, written, detail=""):
+        self.reason = reason
+        self.written = written
+        super().__init__(f"{reason.value}: {detail}")
+
+
+class RawAnswer:
+    """A whole answer of a backend server."""
+
+    __slots__ = ("status", "headers", "body")
+
+    def __init__(self, status, headers, body):
+        self.status = status
+        self.headers = headers
+        self.body = body
+
+    def get_header(self, name):
+        """Return the first value of a header (lower case, bytes), or None."""
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return None
+
+
+class BackendConnection:
+    """One connection to a backend server, for one exchange at a time.
+
+    Parameters
+    ----------
+    stream : trio.abc.Stream
+    """
+
+    def __init__(self, stream):
+        self._stream = stream
+        self._parser = h11.Connection(h11.CLIENT, _MAX_HEAD_BYTES)
+        self.exchanges = 0
+
+    def is_reusable(self):
+        """Return whether another request may be sent.
+
+        A connection with unread bytes is not reusable: they are the end of the
+        connection or an answer to no request of ours.
+        """
+        if self._parser.our_state is not h11.IDLE:
+            return False
+        if self._parser.trailing_data[0]:
+            return False
+        return not self._stream.socket.is_readable()
+
+    async def exchange(self, method, target, headers, body, max_body, on_written):
+        """Send a request and return the whole answer.
+
+        Parameters
+        ----------
+        method, target : str
+        headers : list of (bytes, bytes)
+        body : bytes
+        max_body : int
+            Longest body of an answer, in bytes.
+        on_written : callable
+            Called without arguments just before the first byte is written.
+
+        Returns
+        -------
+        RawAnswer
+
+        Raises
+        ------
+        ExchangeError
+            If the connection fails or the answer is invalid, truncated or too long.
+        """
+        data = self._encode(method, target, headers, body)
+        on_written()
+        try:
+            await self._stream.send_all(data)
+            answer = await self._receive(max_body)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise ExchangeError(RefusalReason.ANSWER_LOST, True, error) from None
+        except h11.RemoteProtocolError as error:
+            raise ExchangeError(RefusalReason.ANSWER_TRUNCATED, True, error) from None
+        self.exchanges += 1
+        self._start_next_cycle()
+        return answer
+
+    async def close(self):
+        """Close the connection at once."""
+        await trio.aclose_forcefully(self._stream)
+
+    def _encode(self, method, target, headers, body):
+        try:
+            request = h11.Request(method=method, target=target, headers=headers)
+            data = self._parser.send(request)
+            if body:
+                data += self._parser.send(h11.Data(data=body))
+            return data + self._parser.send(h11.EndOfMessage())
+        except h11.LocalProtocolError as error:
+            raise ExchangeError(RefusalReason.BAD_REQUEST, False, error) from None
+
+    async def _receive(self, max_body):
+        head = await self._next_event()
+        while isinstance(head, h11.InformationalResponse):
+            head = await self._next_event()
+        if not isinstance(head, h11.Response):
+            raise ExchangeError(RefusalReason.ANSWER_LOST, True, "no answer")
+        parts, size = [], 0
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.EndOfMessage):
+                break
+            if not isinstance(event, h11.Data):
+                raise ExchangeError(RefusalReason.ANSWER_TRUNCATED, True, "no end")
+            parts.append(bytes(event.data))
+            size += len(event.data)
+            if size > max_body:
+                raise ExchangeError(RefusalReason.ANSWER_TOO_LARGE, True, size)
+        if parts and not _is_delimited(head):
+            raise ExchangeError(RefusalReason.ANSWER_TRUNCATED, True, "no length")
+        headers = [item for item in head.headers if item[0] not in HOP_HEADERS]
+        return RawAnswer(head.status_code, headers, b"".join(parts))
+
+    async def _next_event(self):
+        while True:
+            event = self._parser.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            self._parser.receive_data(await self._stream.receive_some(_READ_BYTES))
+
+    def _start_next_cycle(self):
+        if self._parser.our_state is h11.DONE is self._parser.their_state:
+            self._parser.start_next_cycle()
+
+
+def _is_delimited(head):
+    names = {name for name, _ in head.headers}
+    return b"content-length" in names or b"transfer-encoding" in names
+
+
+async def open_connection(address, timeout):
+    """Connect to a backend server.
+
+    Parameters
+    ----------
+    address : Address
+    timeout : float
+        In seconds.
+
+    Raises
+    ------
+    ExchangeError
+        If it does not accept in time; nothing was written.
+    """
+    try:
+        with trio.fail_after(timeout):
+            stream = await trio.open_tcp_stream(address.host, address.port)
+    except (OSError, trio.TooSlowError) as error:
+        raise ExchangeError(RefusalReason.BACKEND_UNREACHABLE, False, error) from None
+    return BackendConnection(stream)
--- /dev/null
+++ b/kumquatsaddle/exceptions.py
@@ -0,0 +1,128 @@
+"""Exception tree of the project.
+
+Every error raised on purpose derives from `KumquatsaddleError`. Commands map the
+direct subclasses to exit codes.
+"""
+
+from kumquatsaddle.types import RefusalReason
+
+__all__ = [
+    "KumquatsaddleError",
+    "SettingsError",
+    "ConfigurationError",
+    "MessageError",
+    "PlatformError",
+    "PlatformUnavailableError",
+    "ConflictError",
+    "RefusedError",
+    "OutcomeUnknownError",
+]
+
+
+class KumquatsaddleError(Exception):
+    """Base class of all errors of the project."""
+
+    exit_code = 1
+
+
+class SettingsError(KumquatsaddleError):
+    """A settings file is invalid.
+
+    Parameters
+    ----------
+    problem : str
+        What is wrong.
+    file, section, key : str, optional
+        Where it is wrong.
+    """
+
+    exit_code = 2
+
+    def __init__(self, problem, file=None, section=None, key=None):
+        self.problem = problem
+        self.file = file
+        self.section = section
+        self.key = key
+        place = "".join(
+            [
+                f"{file}: " if file else "",
+                f"[{section}] " if section else "",
+                f"{key}: " if key else "",
+            ]
+        )
+        super().__init__(f"{place}{problem}")
+
+
+class ConfigurationError(KumquatsaddleError):
+    """A service, template or client account is invalid.
+
+    Parameters
+    ----------
+    problem : str
+        What is wrong.
+    field : str, optional
+        Name of the field, for example ``accounts/shop-1.limits``.
+    """
+
+    exit_code = 3
+
+    def __init__(self, problem, field=None):
+        self.problem = problem
+        self.field = field
+        super().__init__(f"{field}: {problem}" if field else problem)
+
+
+class MessageError(KumquatsaddleError):
+    """An internal message is truncated, forged, replayed or malformed."""
+
+    exit_code = 4
+
+
+class PlatformError(KumquatsaddleError):
+    """Base class of errors of the platform."""
+
+    exit_code = 5
+
+
+class PlatformUnavailableError(PlatformError):
+    """A platform call failed; a write may or may not have taken effect."""
+
+
+class ConflictError(PlatformError):
+    """A conditional write found another version than expected."""
+
+    exit_code = 6
+
+
+class RefusedError(KumquatsaddleError):
+    """A request did not run and will not run.
+
+    Parameters
+    ----------
+    reason : RefusalReason
+        The reason, also the label of the counter.
+    """
+
+    exit_code = 7
+
+    def __init__(self, reason: RefusalReason, detail=""):
+        self.reason = reason
+        self.detail = detail
+        super().__init__(f"{reason.value}: {detail}" if detail else reason.value)
+
+
+class OutcomeUnknownError(KumquatsaddleError):
+    """A request may have run; its answer is lost.
+
+    Parameters
+    ----------
+    reason : RefusalReason
+        The reason, also the label of the counter.
+    """
+
+    exit_code = 8
+
+    def __init__(self, reason: RefusalReason, detail=""):
+        self.reason = reason
+        self.detail = detail
+        super().__init__(f"{reason.value}: {detail}" if detail else reason.value)
--- /dev/null
+++ b/kumquatsaddle/health/__init__.py
@@ -0,0 +1,12 @@
+"""Judges backend servers by real work: detection, ejection within tokens, return."""
+
+from kumquatsaddle.health.baseline import LatencyBaseline, make_baseline
+from kumquatsaddle.health.sequential import Cusum, make_error_test, make_slow_test
+
+__all__ = [
+    "Cusum",
+    "LatencyBaseline",
+    "make_baseline",
+    "make_error_test",
+    "make_slow_test",
+]
--- /dev/null
+++ b/kumquatsaddle/messages/frames.py
@@ -0,0 +1,55 @@
+"""Frames on TCP streams: a 4-byte big-endian length, then a sealed message."""
+
+from kumquatsaddle.exceptions import MessageError
+
+__all__ = ["FrameReader", "write_frame"]
+
+_LENGTH_BYTES = 4
+# Largest frame in bytes; a whole configuration of 35,000 accounts is about 6 MB.
+_MAX_FRAME_BYTES = 64 << 20
+_READ_BYTES = 65536
+
+
+class FrameReader:
+    """Splits the bytes of a stream into frames."""
+
+    def __init__(self, stream, max_bytes=_MAX_FRAME_BYTES):
+        self._stream = stream
+        self._max_bytes = max_bytes
+        self._buffer = bytearray()
+
+    async def read(self):
+        """Return the next frame, or None at the end of the stream.
+
+        Raises
+        ------
+        MessageError
+            If the frame is too long, or the stream ends within it.
+        """
+        head = await self._take(_LENGTH_BYTES)
+        if head is None:
+            return None
+        length = int.from_bytes(head, "big")
+        if length > self._max_bytes:
+            raise MessageError(f"frame of {length} bytes is too long")
+        body = await self._take(length)
+        if body is None:
+            raise MessageError("truncated frame")
+        return body
+
+    async def _take(self, count):
+        while len(self._buffer) < count:
+            data = await self._stream.receive_some(_READ_BYTES)
+            if not data:
+                if self._buffer:
+                    raise MessageError("truncated frame")
+                return None
+            self._buffer += data
+        taken = bytes(self._buffer[:count])
+        del self._buffer[:count]
+        return taken
+
+
+async def write_frame(stream, data):
+    """Write one frame."""
+    await stream.send_all(len(data).to_bytes(_LENGTH_BYTES, "big") + data)
--- /dev/null
+++ b/kumquatsaddle/messages/messages.capnp
@@ -0,0 +1,115 @@
+@0xc3a1f0b5d2e84797;
+
+# Messages between the instances of the fleet. Times are seconds since the epoch,
+# durations are milliseconds.
+
+struct Envelope {
+  sender @0 :Text;         # instance id
+  incarnation @1 :Text;    # incarnation id of the sender
+  sequence @2 :UInt64;     # grows with each message of an incarnation
+  sentAt @3 :Float64;
+  configVersion @4 :UInt64;
+  union {
+    ping @5 :Ping;
+    ack @6 :Ack;
+    pingRequest @7 :PingRequest;
+    digest @8 :Digest;
+    forward @9 :Forward;
+    forwardReply @10 :ForwardReply;
+    fetchChanges @11 :FetchChanges;
+    changes @12 :Changes;
+    hello @13 :Hello;
+    members @14 :Members;
+  }
+}
+
+struct Member {
+  name @0 :Text;
+  incarnation @1 :Text;
+  startedAt @2 :Float64;   # orders the incarnations of one instance
+  revision @3 :UInt32;     # grows with each refutation or change by the member itself
+  state @4 :UInt8;
+  zone @5 :Text;
+  region @6 :Text;
+  control @7 :Text;        # host:port
+  callers @8 :Text;        # host:port
+}
+
+struct Ping {
+  number @0 :UInt32;
+  updates @1 :List(Member);
+}
+
+struct Ack {
+  number @0 :UInt32;
+  updates @1 :List(Member);
+}
+
+struct PingRequest {
+  number @0 :UInt32;
+  target @1 :Text;         # control address
+  updates @2 :List(Member);
+}
+
+struct Digest {
+  services @0 :List(ServiceDigest);
+}
+
+struct ServiceDigest {
+  service @0 :Text;
+  medianMs @1 :Float32;
+  p99Ms @2 :Float32;
+  samples @3 :UInt32;
+  freeSlots @4 :UInt16;
+  queued @5 :UInt16;
+}
+
+struct Header {
+  name @0 :Data;
+  value @1 :Data;
+}
+
+struct Forward {
+  number @0 :UInt32;
+  kind @1 :UInt8;          # 0: to the authority, 1: to a home
+  method @2 :Text;
+  target @3 :Text;
+  headers @4 :List(Header);
+  body @5 :Data;
+  account @6 :Text;
+  service @7 :Text;
+  rank @8 :UInt8;
+  idempotent @9 :Bool;
+  remainingMs @10 :UInt32;
+  operation @11 :Text;
+}
+
+struct ForwardReply {
+  number @0 :UInt32;
+  outcome @1 :UInt8;
+  status @2 :UInt16;
+  headers @3 :List(Header);
+  body @4 :Data;
+  reason @5 :Text;
+  operation @6 :Text;
+}
+
+struct FetchChanges {
+  number @0 :UInt32;
+  after @1 :UInt64;
+}
+
+struct Changes {
+  number @0 :UInt32;
+  entries @1 :List(Data);  # JSON of each change, in order
+  snapshot @2 :Data;       # JSON of the whole configuration, or empty
+}
+
+struct Hello {
+  number @0 :UInt32;
+}
+
+struct Members {
+  number @0 :UInt32;
+  members @1 :List(Member);
+}
--- /dev/null
+++ b/kumquatsaddle/platform/__init__.py
@@ -0,0 +1,25 @@
+"""The platform: a transactional table, an object store and a list of instances.
+
+One narrow interface, `Platform`, with implementations in the registry `platforms`.
+"""
+
+from kumquatsaddle.platform.http import make_http_platform
+from kumquatsaddle.platform.interface import (
+    ListedInstance,
+    Platform,
+    Row,
+    make_platform,
+    platforms,
+)
+from kumquatsaddle.platform.memory import MemoryPlatform, make_memory_platform
+
+__all__ = [
+    "ListedInstance",
+    "MemoryPlatform",
+    "Platform",
+    "Row",
+    "make_http_platform",
+    "make_memory_platform",
+    "make_platform",
+    "platforms",
+]
--- /dev/null
+++ b/kumquatsaddle/platform/interface.py
@@ -0,0 +1,109 @@
+"""The narrow interface to the platform and the registry of its implementations."""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from kumquatsaddle.registries import Registry
+from kumquatsaddle.types import RegionId, ServiceName, ZoneId
+
+__all__ = ["ListedInstance", "Platform", "Row", "make_platform", "platforms"]
+
+platforms = Registry("platform")
+
+
+@dataclass(frozen=True, slots=True)
+class Row:
+    """A row of the table: its JSON value and an opaque version tag."""
+
+    key: str
+    value: dict
+    version: str
+
+
+@dataclass(frozen=True, slots=True)
+class ListedInstance:
+    """An entry of the platform's list of instances, which lags.
+
+    Parameters
+    ----------
+    name : str
+        Name of the instance.
+    role : str
+        ``entry`` for an instance of the fleet, ``backend`` for a backend server.
+    service : ServiceName
+        Service of a backend server, empty for an entry instance.
+    address : str
+        ``host:port`` for work; of an entry instance the control address.
+    zone, region : str
+        Where it runs.
+    leaving : bool
+        Whether the platform says that it is leaving.
+    """
+
+    name: str
+    role: str
+    service: ServiceName
+    address: str
+    zone: ZoneId
+    region: RegionId
+    leaving: bool = False
+
+
+class Platform(Protocol):
+    """What the fleet asks of the platform.
+
+    Every method raises `PlatformUnavailableError` when the call fails or times out;
+    a write may have taken effect all the same.
+    """
+
+    async def read_row(self, key: str) -> Row | None:
+        """Return the row at `key`, or None if there is none."""
+
+    async def put_row(self, key: str, value: dict, expected_version: str | None) -> str:
+        """Write a row if its version is the expected one; return the new version.
+
+        `expected_version` None means that the row must not exist.
+
+        Raises
+        ------
+        ConflictError
+            If the version is another one.
+        """
+
+    async def delete_row(self, key: str, expected_version: str) -> None:
+        """Delete a row if its version is the expected one.
+
+        Raises
+        ------
+        ConflictError
+            If the version is another one or the row is absent.
+        """
+
+    async def list_rows(self, prefix: str, after: str = "", limit: int = 1000) -> list:
+        """Return at most `limit` rows whose key has `prefix` and is above `after`.
+
+        They are in the order of their keys.
+        """
+
+    async def read_object(self, key: str) -> bytes | None:
+        """Return an object's bytes, or None if there is none."""
+
+    async def write_object(self, key: str, data: bytes) -> None:
+        """Write an object."""
+
+    async def list_instances(self) -> list[ListedInstance]:
+        """Return the instances known to the platform."""
+
+
+def make_platform(settings):
+    """Return the platform that the settings name.
+
+    Parameters
+    ----------
+    settings : Settings
+
+    Returns
+    -------
+    Platform
+    """
+    return platforms.get(settings.get("platform", "kind"))(settings)
--- /dev/null
+++ b/kumquatsaddle/platform/memory.py
@@ -0,0 +1,81 @@
+"""The platform embedded in memory, for tests and for trying the fleet on a laptop."""
+
+import json
+
+from kumquatsaddle.exceptions import ConflictError
+from kumquatsaddle.platform.interface import ListedInstance, Row, platforms
+from kumquatsaddle.types import RegionId, ServiceName, ZoneId
+
+__all__ = ["MemoryPlatform", "make_memory_platform"]
+
+
+class MemoryPlatform:
+    """Rows, objects and instances in dictionaries; versions are counters."""
+
+    def __init__(self):
+        self.rows = {}
+        self.objects = {}
+        self.instances = {}
+        self._last_version = 0
+
+    async def read_row(self, key):
+        """Return the row at `key`, or None."""
+        entry = self.rows.get(key)
+        return Row(key, json.loads(entry[0]), entry[1]) if entry else None
+
+    async def put_row(self, key, value, expected_version):
+        """Write a row if its version is the expected one."""
+        current = self.rows[key][1] if key in self.rows else None
+        if current != expected_version:
+            raise ConflictError(f"{key}: version {current}, not {expected_version}")
+        self._last_version += 1
+        self.rows[key] = (json.dumps(value), str(self._last_version))
+        return str(self._last_version)
+
+    async def delete_row(self, key, expected_version):
+        """Delete a row if its version is the expected one."""
+        if key not in self.rows or self.rows[key][1] != expected_version:
+            raise ConflictError(f"{key}: not at version {expected_version}")
+        del self.rows[key]
+
+    async def list_rows(self, prefix, after="", limit=1000):
+        """Return rows in the order of their keys."""
+        keys = sorted(k for k in self.rows if k.startswith(prefix) and k > after)
+        return [
+            Row(key, json.loads(self.rows[key][0]), self.rows[key][1])
+            for key in keys[:limit]
+        ]
+
+    async def read_object(self, key):
+        """Return an object's bytes, or None."""
+        return self.objects.get(key)
+
+    async def write_object(self, key, data):
+        """Write an object."""
+        self.objects[key] = bytes(data)
+
+    async def list_instances(self):
+        """Return the instances in the order of their names."""
+        return [self.instances[name] for name in sorted(self.instances)]
+
+
+@platforms.register("memory")
+def make_memory_platform(settings=None):
+    """Return a platform in memory, with the backend servers of the settings.
+
+    Sections ``[backend:NAME]`` hold ``service``, ``address`` and optionally ``zone``
+    and ``region``.
+    """
+    platform = MemoryPlatform()
+    for (kind, name), values in settings.seeds.items() if settings else ():
+        if kind != "backend":
+            continue
+        platform.instances[name] = ListedInstance(
+            name=name,
+            role="backend",
+            service=ServiceName(values.get("service", "")),
+            address=values.get("address", ""),
+            zone=ZoneId(values.get("zone", settings.get("instance", "zone"))),
+            region=RegionId(values.get("region", settings.get("instance", "region"))),
+        )
+    return platform
--- /dev/null
+++ b/kumquatsaddle/settings/__init__.py
@@ -0,0 +1,6 @@
+"""Settings of the binaries, read from INI files and checked before anything starts."""
+
+from kumquatsaddle.settings.fields import Field, known_fields
+from kumquatsaddle.settings.files import Address, Settings, load_settings
+
+__all__ = ["Address", "Field", "Settings", "known_fields", "load_settings"]
--- /dev/null
+++ b/kumquatsaddle/settings/fields.py
@@ -0,0 +1,186 @@
+"""Declarations of the settings: section, key, type, unit, range and default.
+
+The table is the only place that lists the keys; the reader, the checker and the
+operators' page are derived from it.
+"""
+
+from dataclasses import dataclass
+from typing import Any
+
+__all__ = ["Field", "known_fields"]
+
+# Marks a field that has no default.
+_REQUIRED = object()
+
+
+@dataclass(frozen=True, slots=True)
+class Field:
+    """One key of a settings file.
+
+    Parameters
+    ----------
+    section, key : str
+        Place in the file.
+    kind : str
+        Name of a parser registered in `kumquatsaddle.settings.parsers`.
+    default : object
+        Value where the key is absent.
+    low, high : float, optional
+        Inclusive range of a number.
+    unit : str, default=""
+        Unit of a number.
+    choices : tuple of str, optional
+        The allowed words.
+    live : bool, default=False
+        Whether SIGHUP may change it.
+    doc : str
+        One line for the operators' page.
+    """
+
+    section: str
+    key: str
+    kind: str
+    default: Any = _REQUIRED
+    low: float | None = None
+    high: float | None = None
+    unit: str = ""
+    choices: tuple[str, ...] | None = None
+    live: bool = False
+    doc: str = ""
+
+    @property
+    def required(self):
+        """Whether the key must be present."""
+        return self.default is _REQUIRED
+
+
+_LEVELS = ("TRACE", "DEBUG", "INFO", "WARNING", "ERROR")
+
+_FIELDS = (
+    Field("instance", "id", "name", doc="Name of this instance, unique in the fleet."),
+    Field("instance", "zone", "name", doc="Availability zone of this instance."),
+    Field("instance", "region", "name", default="default", doc="Region of the zone."),
+    Field("listen", "callers", "address", doc="Where callers connect."),
+    Field("listen", "control", "address", doc="UDP and TCP between instances."),
+    Field("listen", "operators", "address", doc="Operators' pages and API."),
+    Field("listen", "max_connections", "integer", 2000, 1, 100000, doc="From callers."),
+    Field(
+        "platform", "kind", "choice", "http", choices=("http", "memory"), doc="Store."
+    ),
+    Field("platform", "url", "text", "", doc="Base URL of the platform."),
+    Field(
+        "platform", "timeout", "number", 2.0, 0.05, 60.0, "s", doc="Limit of a call."
+    ),
+    Field(
+        "platform",
+        "poll_interval",
+        "number",
+        10.0,
+        0.1,
+        600.0,
+        "s",
+        live=True,
+        doc="Mean time between reads of the list and of the change log.",
+    ),
+    Field(
+        "secrets",
+        "control_key_files",
+        "paths",
+        (),
+        doc="Keys of internal messages; the first signs, all verify.",
+    ),
+    Field(
+        "secrets",
+        "operator_token_file",
+        "path",
+        "",
+        doc="Bearer token of the operators' API.",
+    ),
+    Field("tls", "certificate_file", "path", "", doc="Certificate towards callers."),
+    Field("tls", "key_file", "path", "", doc="Private key of the certificate."),
+    Field(
+        "membership", "seeds", "addresses", (), doc="Control addresses to join through."
+    ),
+    Field(
+        "membership",
+        "probe_interval",
+        "number",
+        1.0,
+        0.05,
+        60.0,
+        "s",
+        doc="Time between probes of random peers.",
+    ),
+    Field(
+        "membership",
+        "suspicion_timeout",
+        "number",
+        3.0,
+        0.1,
+        600.0,
+        "s",
+        doc="Time from SUSPECT to DEAD.",
+    ),
+    Field(
+        "limits", "header_bytes", "integer", 16384, 1024, 1 << 20, "B", doc="Of a head."
+    ),
+    Field(
+        "limits",
+        "body_bytes",
+        "integer",
+        1 << 20,
+        0,
+        1 << 26,
+        "B",
+        live=True,
+        doc="Of a request body.",
+    ),
+    Field(
+        "limits",
+        "answer_bytes",
+        "integer",
+        1 << 22,
+        0,
+        1 << 28,
+        "B",
+        live=True,
+        doc="Of a response body.",
+    ),
+    Field(
+        "limits",
+        "head_timeout",
+        "number",
+        10.0,
+        0.1,
+        300.0,
+        "s",
+        live=True,
+        doc="For a request head and body to arrive.",
+    ),
+    Field(
+        "limits",
+        "idle_timeout",
+        "number",
+        75.0,
+        1.0,
+        3600.0,
+        "s",
+        live=True,
+        doc="Of a keep-alive connection.",
+    ),
+    Field(
+        "stop", "notice", "number", 3.0, 0.0, 60.0, "s", doc="Listening after SIGTERM."
+    ),
+    Field("stop", "grace", "number", 60.0, 0.1, 600.0, "s", doc="For work in flight."),
+    Field("log", "level", "choice", "INFO", choices=_LEVELS, live=True, doc="Level."),
+)
+
+
+def known_fields():
+    """Return the declared fields, in the order of the operators' page.
+
+    Returns
+    -------
+    tuple of Field
+    """
+    return _FIELDS
--- /dev/null
+++ b/kumquatsaddle/settings/parsers.py
@@ -0,0 +1,129 @@
+"""Parsers of setting values, one a kind, in a registry that decorators fill."""
+
+import ipaddress
+import math
+import re
+
+from kumquatsaddle.registries import Registry
+
+__all__ = ["Address", "parse_address", "parse_value", "parsers"]
+
+parsers = Registry("kind of setting")
+
+_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9_.-]{0,62}\Z")
+_HIGHEST_PORT = 65535
+
+
+class Address(tuple):
+    """An IP address and a port, written ``host:port``."""
+
+    __slots__ = ()
+
+    def __new__(cls, host, port):
+        """Return an address of a numeric host and a port."""
+        return super().__new__(cls, (host, port))
+
+    @property
+    def host(self):
+        """The IP address as text."""
+        return self[0]
+
+    @property
+    def port(self):
+        """The port."""
+        return self[1]
+
+    def __str__(self):
+        return f"[{self[0]}]:{self[1]}" if ":" in self[0] else f"{self[0]}:{self[1]}"
+
+
+def parse_address(text):
+    """Parse ``host:port`` with a numeric host.
+
+    Raises
+    ------
+    ValueError
+        If the host is no IP address or the port is out of range.
+
+    Examples
+    --------
+    >>> str(parse_address("127.0.0.1:80"))
+    '127.0.0.1:80'
+    """
+    host, separator, port = text.strip().rpartition(":")
+    if not separator:
+        raise ValueError(f"{text!r} is not host:port")
+    host = host.removeprefix("[").removesuffix("]")
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        raise ValueError(f"{host!r} is not an IP address") from None
+    if not (port.isascii() and port.isdigit() and int(port) <= _HIGHEST_PORT):
+        raise ValueError(f"{port!r} is not a port")
+    return Address(host, int(port))
+
+
+def parse_value(field, text):
+    """Parse `text` as the value of `field`.
+
+    Raises
+    ------
+    ValueError
+        If it is no value of the kind or out of range.
+    """
+    value = parsers.get(field.kind)(field, text)
+    if field.low is not None and not field.low <= value <= field.high:
+        unit = f" {field.unit}" if field.unit else ""
+        raise ValueError(f"{text} is outside {field.low} to {field.high}{unit}")
+    return value
+
+
+@parsers.register("text")
+@parsers.register("path")
+def _parse_text(field, text):
+    return text
+
+
+@parsers.register("name")
+def _parse_name(field, text):
+    if not _NAME.match(text):
+        raise ValueError(f"{text!r} is not a name of letters, digits, '.', '_', '-'")
+    return text
+
+
+@parsers.register("integer")
+def _parse_integer(field, text):
+    return int(text)
+
+
+@parsers.register("number")
+def _parse_number(field, text):
+    number = text.strip()
+    if field.unit and number.endswith(field.unit):
+        number = number[: -len(field.unit)]
+    value = float(number)
+    if not math.isfinite(value):
+        raise ValueError(f"{text!r} is not a finite number")
+    return value
+
+
+@parsers.register("choice")
+def _parse_choice(field, text):
+    if text not in field.choices:
+        raise ValueError(f"{text!r} is not one of {', '.join(field.choices)}")
+    return text
+
+
+@parsers.register("address")
+def _parse_one_address(field, text):
+    return parse_address(text)
+
+
+@parsers.register("addresses")
+def _parse_addresses(field, text):
+    return tuple(parse_address(part) for part in text.replace(",", " ").split())
+
+
+@parsers.register("paths")
+def _parse_paths(field, text):
+    return tuple(text.replace(",", " ").split())
--- /dev/null
+++ b/kumquatsaddle/types.py
@@ -0,0 +1,129 @@
+"""Identifiers and states shared by all packages.
+
+Identifiers are ``NewType`` aliases of ``str`` or ``int``, so that a type checker
+tells them apart at no run-time cost. States and reasons are ``Enum`` classes; the
+value of a reason is also the label of its counter.
+"""
+
+from enum import Enum, IntEnum
+from typing import NewType
+
+__all__ = [
+    "InstanceId",
+    "IncarnationId",
+    "ZoneId",
+    "RegionId",
+    "BackendId",
+    "GroupId",
+    "ServiceName",
+    "TemplateName",
+    "AccountId",
+    "OperationId",
+    "ConfigVersion",
+    "Rank",
+    "Outcome",
+    "RefusalReason",
+    "RetryReason",
+    "BackendState",
+    "InstanceState",
+]
+
+InstanceId = NewType("InstanceId", str)
+IncarnationId = NewType("IncarnationId", str)
+ZoneId = NewType("ZoneId", str)
+RegionId = NewType("RegionId", str)
+BackendId = NewType("BackendId", str)
+GroupId = NewType("GroupId", str)
+ServiceName = NewType("ServiceName", str)
+TemplateName = NewType("TemplateName", str)
+AccountId = NewType("AccountId", str)
+OperationId = NewType("OperationId", str)
+ConfigVersion = NewType("ConfigVersion", int)
+
+
+class Rank(IntEnum):
+    """Priority of a request; a lower value is served first."""
+
+    URGENT = 0
+    STANDARD = 1
+    BULK = 2
+
+
+class Outcome(Enum):
+    """The three answers to a caller."""
+
+    DONE = "done"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+class RefusalReason(Enum):
+    """Why a request was answered ``NOT_RUN`` or ``UNKNOWN`` by the fleet."""
+
+    # Answered NOT_RUN.
+    BAD_REQUEST = "bad_request"
+    HEADERS_TOO_LARGE = "headers_too_large"
+    BODY_TOO_LARGE = "body_too_large"
+    REQUEST_TIMEOUT = "request_timeout"
+    TOO_MANY_CONNECTIONS = "too_many_connections"
+    UNAUTHORIZED = "unauthorized"
+    UNKNOWN_ACCOUNT = "unknown_account"
+    UNKNOWN_ROUTE = "unknown_route"
+    INVALID_OPERATION_ID = "invalid_operation_id"
+    OPERATION_MISMATCH = "operation_mismatch"
+    ACCOUNT_LIMIT = "account_limit"
+    QUEUE_FULL = "queue_full"
+    DEADLINE = "deadline"
+    NO_BACKEND = "no_backend"
+    BACKEND_SHED = "backend_shed"
+    BACKEND_UNREACHABLE = "backend_unreachable"
+    PEER_UNREACHABLE = "peer_unreachable"
+    CLAIM_LIMIT = "claim_limit"
+    CLAIM_UNAVAILABLE = "claim_unavailable"
+    LEDGER_FULL = "ledger_full"
+    NOT_READY = "not_ready"
+    CALLER_GONE = "caller_gone"
+    # Answered UNKNOWN.
+    ANSWER_LOST = "answer_lost"
+    ANSWER_TRUNCATED = "answer_truncated"
+    ANSWER_TOO_LARGE = "answer_too_large"
+    ANSWER_LATE = "answer_late"
+    ISSUER_GONE = "issuer_gone"
+    OPERATION_EXPIRED = "operation_expired"
+    # Answered DONE, but without the body.
+    ANSWER_FORGOTTEN = "answer_forgotten"
+
+
+class RetryReason(Enum):
+    """Why a request was sent again to another backend server or instance."""
+
+    CONNECT_FAILED = "connect_failed"
+    STALE_CONNECTION = "stale_connection"
+    BACKEND_SHED = "backend_shed"
+    BACKEND_ERROR = "backend_error"
+    ANSWER_TRUNCATED = "answer_truncated"
+    ANSWER_LATE = "answer_late"
+    PEER_REFUSED = "peer_refused"
+    PEER_LOST = "peer_lost"
+
+
+class BackendState(Enum):
+    """State of a backend server at its home instance."""
+
+    HEALTHY = "healthy"
+    WARMING = "warming"
+    PROBATION = "probation"
+    EJECTED = "ejected"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+class InstanceState(Enum):
+    """State of an instance of the fleet in a member table."""
+
+    JOINING = "joining"
+    ALIVE = "alive"
+    IMPAIRED = "impaired"
+    LEAVING = "leaving"
+    SUSPECT = "suspect"
+    DEAD = "dead"
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of outside systems, for demonstrations and tests."""
--- /dev/null
+++ b/standins/backend.py
@@ -0,0 +1,128 @@
+"""Stand-in of a backend server with a few slots, which can be made to fail grayly.
+
+Usage:
+  standins.backend --name=NAME --listen=ADDRESS [--slots=N] [--work=S]
+                   [--seed=N]
+
+Options:
+  --slots=N  Requests that run at a time [default: 6].
+  --work=S   Mean time of a request in seconds [default: 0.02].
+  --seed=N   Seed of the random numbers [default: 1].
+
+``PUT /.mode`` with a JSON object sets its behaviour:
+
+- ``error_rate``: share of requests that fail with status 500 before they run;
+- ``slow_factor``: factor on the time of a request;
+- ``cut_rate``: share of answers that are cut in the middle, after they ran;
+- ``flap_period``: seconds of bad behaviour, then of good, and so on; 0 is off;
+- ``draining``: true refuses new work as unprocessed and says so.
+
+``GET /.executions`` returns how often each operation id ran. ``GET /health`` always
+answers that all is well: the health endpoint misleads.
+"""
+
+import json
+import random
+import sys
+
+import trio
+from docopt import docopt
+
+from kumquatsaddle.settings.parsers import parse_address
+from standins.http import Reply, reply_json, serve_http
+
+__all__ = ["BackendStandin", "main"]
+
+_DRAINING = [("Backend-State", "draining"), ("Backend-Unprocessed", "1")]
+_SHED = [("Backend-Unprocessed", "1")]
+
+
+class BackendStandin:
+    """State and behaviour of one server.
+
+    Parameters
+    ----------
+    name : str
+    slots : int
+    work : float
+        Mean time of a request in seconds.
+    seed : int
+    """
+
+    def __init__(self, name, slots=6, work=0.02, seed=1):
+        self.name = name
+        self.slots = slots
+        self.work = work
+        self.mode = {
+            "error_rate": 0.0,
+            "slow_factor": 1.0,
+            "cut_rate": 0.0,
+            "flap_period": 0.0,
+            "draining": False,
+        }
+        self.executions = {}
+        self.served = 0
+        self.running = 0
+        self._rng = random.Random(f"{seed}/{name}")
+
+    async def handle(self, method, target, headers, body):
+        """Answer one request."""
+        if target == "/.mode":
+            self.mode.update(json.loads(body))
+            return reply_json(self.mode)
+        if target == "/.executions":
+            return reply_json(self.executions)
+        if target == "/.served":
+            return reply_json({"served": self.served})
+        if target == "/health":
+            return reply_json({"status": "ok"})
+        if self.mode["draining"]:
+            return Reply(503, headers=_DRAINING)
+        if self.running >= self.slots:
+            return Reply(503, headers=_SHED)
+        self.running += 1
+        try:
+            return await self._work(target, headers, body)
+        finally:
+            self.running -= 1
+
+    async def _work(self, target, headers, body):
+        bad = self._is_bad()
+        self.served += 1
+        started = trio.current_time()
+        await trio.sleep(self._draw_time(bad))
+        if bad and self._rng.random() < self.mode["error_rate"]:
+            return Reply(500, b"error")
+        operation = headers.get("kumquatsaddle-operation")
+        if operation:
+            self.executions[operation] = self.executions.get(operation, 0) + 1
+        cut = bad and self._rng.random() < self.mode["cut_rate"]
+        answer = {"server": self.name, "target": target, "echo": body.decode()}
+        taken = trio.current_time() - started
+        headers = [("Backend-Time-Us", str(int(taken * 1e6)))]
+        return Reply(200, json.dumps(answer).encode(), headers, cut)
+
+    def _is_bad(self):
+        period = self.mode["flap_period"]
+        return not period or int(trio.current_time() / period) % 2 == 0
+
+    def _draw_time(self, bad):
+        factor = self.mode["slow_factor"] if bad else 1.0
+        return self.work * factor * self._rng.lognormvariate(0, 0.25)
+
+
+def main(arguments=None):
+    """Run the server until it is terminated."""
+    options = docopt(__doc__, argv=arguments)
+    address = parse_address(options["--listen"])
+    standin = BackendStandin(
+        options["--name"],
+        int(options["--slots"]),
+        float(options["--work"]),
+        int(options["--seed"]),
+    )
+    trio.run(serve_http, standin.handle, address.host, address.port)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools for development."""
--- /dev/null
+++ b/tools/run_tests.py
@@ -0,0 +1,112 @@
+"""Runs behave over every folder of tests and prints one closing line.
+
+Usage:
+  tools.run_tests [FOLDER ...] [--jobs=N]
+
+Options:
+  --jobs=N  Folders that run at a time [default: 4].
+
+Each folder has its own steps, so each is one behave process. Scenarios listed in
+KNOWN-RED.txt are run and printed, and count as skipped whatever their result.
+"""
+
+import json
+import subprocess
+import sys
+import tempfile
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+from docopt import docopt
+
+__all__ = ["main"]
+
+_ROOT = Path(__file__).resolve().parent.parent
+_KNOWN_RED = _ROOT / "KNOWN-RED.txt"
+# Longest time in seconds for one folder; a hanging test fails instead of the run.
+_FOLDER_TIMEOUT = 900
+
+
+def _find_folders():
+    features = _ROOT.glob("**/tests/*.feature")
+    folders = {path.parent for path in features if ".venv" not in path.parts}
+    return sorted(folders)
+
+
+def _read_known_red():
+    """Return the names of the listed scenarios, ``path.feature: scenario``."""
+    if not _KNOWN_RED.exists():
+        return set()
+    lines = _KNOWN_RED.read_text().splitlines()
+    return {
+        line.removeprefix("test:").strip() for line in lines if line.startswith("test:")
+    }
+
+
+def _run_folder(folder):
+    """Run one folder; return scenario names to status and the output of behave."""
+    with tempfile.TemporaryDirectory() as scratch:
+        report = Path(scratch) / "report.json"
+        command = [sys.executable, "-m", "behave", "--no-color", "--summary"]
+        command += ["--format=progress3", "--format=json"]
+        command += ["--outfile=/dev/stdout", f"--outfile={report}", str(folder)]
+        try:
+            run = subprocess.run(
+                command,
+                cwd=_ROOT,
+                text=True,
+                stdout=subprocess.PIPE,
+                stderr=subprocess.STDOUT,
+                timeout=_FOLDER_TIMEOUT,
+            )
+        except subprocess.TimeoutExpired as error:
+            output = (error.stdout or b"").decode(errors="replace")
+            return {f"{folder}: timeout": "failed"}, output
+        if not report.exists() or not report.read_text().strip():
+            return {f"{folder}: no report": "failed"}, run.stdout
+        results = _read_report(json.loads(report.read_text()))
+    if run.returncode and "failed" not in results.values():
+        results[f"{folder}: exit status {run.returncode}"] = "failed"
+    return results, run.stdout
+
+
+def _read_report(features):
+    results = {}
+    for feature in features:
+        path = feature["location"].rpartition(":")[0]
+        for element in feature.get("elements", []):
+            if element["type"] == "background":
+                continue
+            name = f"{path}: {element['name']}"
+            status = element.get("status", "failed")
+            known = ("passed", "skipped")
+            results[name] = status if status in known else "failed"
+    return results
+
+
+def main(arguments=None):
+    """Run the tests; return 0 if some ran and none failed."""
+    options = docopt(__doc__, argv=arguments)
+    folders = [Path(name).resolve() for name in options["FOLDER"]] or _find_folders()
+    known_red = _read_known_red()
+    counts = {"passed": 0, "failed": 0, "skipped": 0}
+    with ThreadPoolExecutor(int(options["--jobs"])) as pool:
+        for folder, (results, output) in zip(
+            folders, pool.map(_run_folder, folders), strict=True
+        ):
+            print(f"{folder.relative_to(_ROOT)}: {len(results)} scenarios")
+            for name, status in results.items():
+                if name in known_red:
+                    print(f"  known red, {status}: {name}")
+                    status = "skipped"
+                counts[status] += 1
+                if status == "failed":
+                    print(f"  failed: {name}")
+            if "failed" in results.values():
+                print(output)
+    print("{passed} passed, {failed} failed, {skipped} skipped".format(**counts))
+    return 1 if counts["failed"] or not counts["passed"] else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
