Move the servers of a service into a pool of their own

Cause: the dispatcher held the choice of servers, the evidence and the queue in one module of 300 lines.

--- a/kumquatsaddle/dispatch/dispatcher.py
+++ b/kumquatsaddle/dispatch/dispatcher.py
@@ -7,21 +7,17 @@
 
 import trio
 
-from kumquatsaddle.admission.queue import Waiter, make_queue
+from kumquatsaddle.admission.queue import Waiter
 from kumquatsaddle.dispatch.connections import ExchangeError
-from kumquatsaddle.dispatch.servers import BackendServer
+from kumquatsaddle.dispatch.pools import make_pool
 from kumquatsaddle.exceptions import RefusedError
 from kumquatsaddle.exchange import Answer
-from kumquatsaddle.health.baseline import make_baseline
-from kumquatsaddle.logs import log_event
-from kumquatsaddle.types import BackendState, Outcome, RefusalReason, RetryReason
+from kumquatsaddle.types import Outcome, RefusalReason, RetryReason
 
 __all__ = ["Dispatcher", "make_dispatcher"]
 
 # Attempts on different backend servers, the first one included.
 _MAX_ATTEMPTS = 2
-# Waiting requests of one rank for each slot of a service.
-_WAITING_PER_SLOT = 64
 # Headers that a backend server sends about itself.
 _STATE_HEADER = b"backend-state"
 _UNPROCESSED_HEADER = b"backend-unprocessed"
@@ -29,50 +25,6 @@
 _OPERATION_HEADER = b"kumquatsaddle-operation"
 
 
-class ServicePool:
-    """The servers and the queue of one service at this instance."""
-
-    def __init__(self, service):
-        self.service = service
-        self.baseline = make_baseline()
-        self.servers = {}
-        self.tokens = {}
-        self.queue = make_queue(service.rank_floors, _WAITING_PER_SLOT * service.slots)
-
-    def choose_server(self, waiter):
-        """Return the least loaded server with room for a waiter, or None."""
-        request = waiter.request
-        best, best_load = None, None
-        for server in self.servers.values():
-            if server.name in waiter.excluded:
-                continue
-            if not server.has_room(request.idempotent):
-                continue
-            load = server.in_flight / server.limit
-            if best is None or load < best_load:
-                best, best_load = server, load
-        return best
-
-    def serve_waiting(self):
-        """Give free slots to waiting requests."""
-        while len(self.queue):
-            waiter = self.queue.pop(lambda entry: self.choose_server(entry) is not None)
-            if waiter is None:
-                return
-            server = self.choose_server(waiter)
-            server.in_flight += 1
-            waiter.slot = server
-            waiter.event.set()
-
-    def free_slots(self):
-        """Return how many requests could start now."""
-        return sum(
-            max(0, int(server.limit) - server.in_flight)
-            for server in self.servers.values()
-            if server.has_room(True)
-        )
-
-
 class Dispatcher:
     """Dispatches the requests of one instance.
 
@@ -102,10 +54,10 @@
         for name, members in wanted.items():
             pool = self.pools.get(name)
             if pool is None:
-                pool = self.pools[name] = ServicePool(services[name])
-            await self._update_pool(pool, services[name], members)
+                pool = self.pools[name] = make_pool(services[name])
+            await pool.update_groups(services[name], members)
         for name in set(self.pools) - set(wanted):
-            await self._update_pool(self.pools[name], self.pools[name].service, [])
+            await self.pools[name].update_groups(self.pools[name].service, [])
             if not len(self.pools[name].queue):
                 del self.pools[name]
 
@@ -140,31 +92,16 @@
         pool = self.pools.get(service)
         return pool is not None and not len(pool.queue) and pool.free_slots() > 0
 
+    def describe_services(self):
+        """Return the `ServiceDigest` of each service at this instance."""
+        return [pool.describe() for pool in self.pools.values()]
+
     async def close(self):
         """Close all idle connections."""
         for pool in self.pools.values():
             for server in pool.servers.values():
                 await server.close()
 
-    async def _update_pool(self, pool, service, groups):
-        pool.service = service
-        pool.tokens = {group.name: group.tokens for group in groups}
-        backends = {member.name: member for group in groups for member in group.members}
-        for name in set(pool.servers) - set(backends):
-            await pool.servers.pop(name).close()
-        for name, backend in backends.items():
-            if name not in pool.servers:
-                pool.servers[name] = BackendServer(
-                    backend, service.slots, pool.baseline
-                )
-            server = pool.servers[name]
-            if backend.leaving:
-                server.health.state = BackendState.DRAINING
-        self._group_of = {
-            member.name: group for group in groups for member in group.members
-        }
-        pool.serve_waiting()
-
     async def _take_slot(self, request, excluded):
         pool = self.pools.get(request.service)
         if pool is None or not pool.servers:
@@ -224,13 +161,13 @@
             return self._judge_error(pool, server, request, error)
         if scope.cancelled_caught:
             await connection.close()
-            self._add_sample(pool, server, trio.current_time() - started, True)
+            pool.record_answer(server, trio.current_time() - started, True)
             return Answer.refuse(RefusalReason.ANSWER_LATE, request.operation), None
         await server.return_connection(connection)
         return self._judge_answer(pool, server, request, raw, started)
 
     def _judge_error(self, pool, server, request, error):
-        self._add_sample(pool, server, 0.0, True)
+        pool.record_answer(server, 0.0, True)
         answer = Answer.refuse(error.reason, request.operation)
         if not error.written:
             return answer, RetryReason.CONNECT_FAILED
@@ -239,13 +176,13 @@
     def _judge_answer(self, pool, server, request, raw, started):
         latency = trio.current_time() - started
         if raw.get_header(_STATE_HEADER) == b"draining":
-            server.health.state = BackendState.DRAINING
+            pool.record_draining(server)
         if raw.status == 503 and raw.get_header(_UNPROCESSED_HEADER):
             server.note_shed()
             answer = Answer.refuse(RefusalReason.BACKEND_SHED, request.operation)
             return answer, RetryReason.BACKEND_SHED
         failed = raw.status >= 500
-        self._add_sample(pool, server, latency, failed)
+        pool.record_answer(server, latency, failed)
         answer = Answer(
             Outcome.DONE,
             raw.status,
@@ -260,20 +197,6 @@
             server.note_answer()
         return answer, None
 
-    def _add_sample(self, pool, server, latency, failed):
-        health = server.health
-        if not health.add_answer(latency, failed):
-            return
-        if health.state is not BackendState.HEALTHY:
-            return
-        ejected = sum(
-            entry.health.state is BackendState.EJECTED
-            for entry in pool.servers.values()
-        )
-        if ejected < sum(pool.tokens.values()):
-            health.eject()
-            log_event("backend_ejected", backend=server.name)
-
 
 def make_dispatcher(metrics, max_answer):
     """Return a dispatcher without any server; see `Dispatcher`."""
--- a/kumquatsaddle/health/baseline.py
+++ b/kumquatsaddle/health/baseline.py
@@ -23,6 +23,11 @@
         self.median = 0.0
         self.p99 = 0.0
 
+    @property
+    def samples(self):
+        """Number of answers that the quantiles are taken from."""
+        return len(self._ring)
+
     @property
     def slow_limit(self):
         """Latency in seconds above which an answer counts as slow."""
