--- /dev/null
+++ b/kumquatsaddle/clocks.py
@@ -0,0 +1,20 @@
+"""Clocks."""
+
+import time
+
+__all__ = ["make_steady_clock"]
+
+
+def make_steady_clock():
+    """Return a clock in seconds since the epoch that is never set.
+
+    It starts at the time of the system and goes on with the monotonic clock, so that
+    a step of the system's time can neither make an expired operation id valid again
+    nor expire a valid one.
+
+    Returns
+    -------
+    callable
+    """
+    offset = time.time() - time.monotonic()
+    return lambda: offset + time.monotonic()
--- a/kumquatsaddle/dispatch/peers.py
+++ b/kumquatsaddle/dispatch/peers.py
@@ -77,10 +77,10 @@
         link = await self._open(address)
         link.number += 1
         number, event = link.number, trio.Event()
-        reply = link.waiting[number] = [event, None]
         envelope = self._codec.new_envelope()
         fill(envelope, number)
         data = self._codec.seal(envelope)
+        reply = link.waiting[number] = [event, None]
         with trio.move_on_after(timeout):
             try:
                 async with link.lock:
@@ -175,7 +175,7 @@
     body.body = request.body
     body.account = request.account
     body.service = request.service
-    body.rank = request.rank
+    body.rank = int(request.rank)
     body.idempotent = request.idempotent
     body.remainingMs = max(0, int(remaining * 1000))
     body.operation = request.operation
--- a/kumquatsaddle/exchange.py
+++ b/kumquatsaddle/exchange.py
@@ -16,6 +16,7 @@
 # Reasons that leave open whether the request ran.
 UNKNOWN_REASONS = frozenset(
     {
+        RefusalReason.INTERNAL_ERROR,
         RefusalReason.ANSWER_LOST,
         RefusalReason.ANSWER_TRUNCATED,
         RefusalReason.ANSWER_TOO_LARGE,
@@ -38,6 +39,7 @@
     RefusalReason.ACCOUNT_LIMIT: 429,
     RefusalReason.CLAIM_LIMIT: 429,
     RefusalReason.HEADERS_TOO_LARGE: 431,
+    RefusalReason.INTERNAL_ERROR: 500,
     RefusalReason.DEADLINE: 504,
     RefusalReason.ANSWER_LATE: 504,
     RefusalReason.ANSWER_LOST: 502,
@@ -112,3 +114,9 @@
         outcome = Outcome.UNKNOWN if reason in UNKNOWN_REASONS else Outcome.NOT_RUN
         status = _STATUS_OF_REASON.get(reason, _DEFAULT_STATUS)
         return cls(outcome, status, (), b"", reason, operation)
+
+    @classmethod
+    def unknown(cls, reason, operation=OperationId("")):
+        """Return an UNKNOWN answer for any reason."""
+        status = _STATUS_OF_REASON.get(reason, _DEFAULT_STATUS)
+        return cls(Outcome.UNKNOWN, status, (), b"", reason, operation)
--- a/kumquatsaddle/lifecycle/node.py
+++ b/kumquatsaddle/lifecycle/node.py
@@ -14,9 +14,11 @@
 from kumquatsaddle.addresses.groups import Backend
 from kumquatsaddle.addresses.homes import HomeCandidate
 from kumquatsaddle.addresses.placement import make_placement
-from kumquatsaddle.admission.limits import make_limits
+from kumquatsaddle.admission.limits import TokenBucket, make_limits
+from kumquatsaddle.clocks import make_steady_clock
 from kumquatsaddle.configuration.changes import read_changes, seed_changes
 from kumquatsaddle.configuration.state import make_configuration
+from kumquatsaddle.dispatch.digests import make_digests
 from kumquatsaddle.dispatch.dispatcher import make_dispatcher
 from kumquatsaddle.dispatch.peers import make_links
 from kumquatsaddle.entry.callers import make_caller_server
@@ -29,6 +31,7 @@
 from kumquatsaddle.membership.members import Member, make_table
 from kumquatsaddle.messages.codec import make_codec
 from kumquatsaddle.metrics import make_metrics
+from kumquatsaddle.operations.claims import make_claims
 from kumquatsaddle.operations.issuer import make_incarnation, make_issuer
 from kumquatsaddle.operations.ledger import make_ledger
 from kumquatsaddle.platform.interface import make_platform
@@ -42,6 +45,10 @@
 # States in which an instance is answered to callers and is home of groups.
 SERVING = (InstanceState.ALIVE,)
 _RANDOM_KEY_BYTES = 32
+# Claims a second over the whole fleet; each is two writes to a table that takes
+# several hundred a second. Every instance has an equal share and a burst.
+_CLAIM_RATE = 100.0
+_CLAIM_BURST = 5.0
 
 
 class Node:
@@ -61,13 +68,18 @@
         self.configuration = make_configuration()
         self.incarnation = make_incarnation()
         self.issuer = make_issuer(self.incarnation)
-        self.ledger = make_ledger(time.time)
+        self.clock = make_steady_clock()
+        self.ledger = make_ledger(self.clock)
+        self.claims = make_claims(self.platform, self.issuer, self.clock)
+        self.claim_bucket = TokenBucket(_CLAIM_RATE, _CLAIM_BURST, time.monotonic())
         self.limits = make_limits()
         self.dispatcher = make_dispatcher(
             self.metrics, settings.get("limits", "answer_bytes")
         )
         self.table = make_table(_describe_self(settings, self.incarnation))
-        self.codec = make_codec(self.name, self.incarnation, _read_keys(settings))
+        self.codec = make_codec(
+            self.name, self.incarnation, _read_keys(settings), self.clock
+        )
         self.gossip = make_gossip(
             self.table,
             self.codec,
@@ -76,10 +88,13 @@
             lambda: self.configuration.version,
             self._note_version,
         )
+        self.digests = make_digests()
         self.links = None
+        self._nursery = None
         self.backends = []
         self.placement = make_placement((), (), ())
         self._placement_key = None
+        self._held_groups = {}
         self._wake = trio.Event()
 
     @property
@@ -119,15 +134,19 @@
         if key == self._placement_key:
             return
         self._placement_key = key
+        self.claim_bucket.rate = _CLAIM_RATE / len(self.table.members)
         candidates = [
             HomeCandidate(member.name, member.zone, member.region)
             for member in self.serving_members()
         ]
         services = self.configuration.services
         self.placement = make_placement(services.values(), self.backends, candidates)
-        await self.dispatcher.update_groups(
-            services, self.placement.groups_of(self.name)
-        )
+        groups = {group.name: group for group in self.placement.groups_of(self.name)}
+        if self.table.own.state is InstanceState.LEAVING:
+            # Requests in flight still need the servers that this instance was home of.
+            groups = self._held_groups | groups
+        self._held_groups = groups
+        await self.dispatcher.update_groups(services, groups.values())
 
     async def refresh(self):
         """Read the list of instances and the change log from the platform.
@@ -157,6 +176,10 @@
         }
         await self.update_placement()
 
+    def start_background(self, function, *arguments):
+        """Run an async function as a task of the node."""
+        self._nursery.start_soon(function, *arguments)
+
     def _note_version(self, member, version):
         if version > self.configuration.version:
             self._wake.set()
@@ -194,11 +217,12 @@
 
     async def start(self, nursery):
         """Start the tasks; the instance serves once it has a configuration."""
+        self._nursery = nursery
         listen = self.settings.get("listen", "control")
         self.links = make_links(self.codec, nursery)
         await nursery.start(self.gossip.run, listen)
-        control = make_control_server(self)
-        await nursery.start(control.run, listen)
+        self.control = make_control_server(self)
+        await nursery.start(self.control.run, listen)
         self.callers = make_caller_server(self, make_proxy(self))
         await nursery.start(self.callers.run, self.settings.get("listen", "callers"))
         await self._load_first(nursery)
@@ -211,9 +235,11 @@
         """Leave the address answer, end the work in flight and release the homes."""
         self.gossip.set_own_state(InstanceState.LEAVING)
         await self.gossip.announce()
-        await self.callers.drain(
-            self.settings.get("stop", "notice"), self.settings.get("stop", "grace")
-        )
+        grace = self.settings.get("stop", "grace")
+        await self.callers.drain(self.settings.get("stop", "notice"), grace)
+        await self.control.drain(grace)
+        self.gossip.set_own_state(InstanceState.DEAD)
+        await self.gossip.announce()
         await self.links.close()
         await self.dispatcher.close()
 
--- a/kumquatsaddle/operations/ledger.py
+++ b/kumquatsaddle/operations/ledger.py
@@ -57,10 +57,42 @@
     def __len__(self):
         return len(self._records)
 
-    def look_up(self, operation):
-        """Return the finished answer of an operation, or None."""
+    def has_record(self, operation):
+        """Return whether an operation is on record."""
+        return operation in self._records
+
+    def is_full(self):
+        """Return whether no further operation can be put on record."""
+        self._forget()
+        return len(self._records) >= self._max_records
+
+    def refuse(self, operation, issued_at, reason):
+        """Put an operation on record as not run, unless it is on record already.
+
+        Parameters
+        ----------
+        operation : OperationId
+        issued_at : float
+            Seconds since the epoch.
+        reason : RefusalReason
+
+        Returns
+        -------
+        Answer
+            The refusal, the answer on record, or UNKNOWN for an operation that is in
+            flight or too old to be on record.
+        """
+        self._forget()
         record = self._records.get(operation)
-        return record.answer if record else None
+        if record is not None:
+            return record.answer or Answer.unknown(reason, operation)
+        if self.is_full() or self._clock() - issued_at > ISSUE_VALIDITY:
+            return Answer.unknown(reason, operation)
+        record = _Record(b"", issued_at)
+        record.answer = Answer.refuse(reason, operation)
+        record.finished.set()
+        self._records[operation] = record
+        return record.answer
 
     async def run_once(self, operation, issued_at, fingerprint, run):
         """Run an operation unless it is on record, and return its answer.
@@ -86,9 +118,10 @@
         if record is not None:
             return await self._repeat(operation, record, fingerprint)
         if self._clock() - issued_at > ISSUE_VALIDITY:
-            return _unknown(operation, RefusalReason.OPERATION_EXPIRED)
+            return Answer.unknown(RefusalReason.OPERATION_EXPIRED, operation)
         if len(self._records) >= self._max_records:
-            return Answer.refuse(RefusalReason.LEDGER_FULL, operation=operation)
+            # Without a record a repeat could run, so this is no NOT_RUN.
+            return Answer.unknown(RefusalReason.LEDGER_FULL, operation)
         record = _Record(fingerprint, issued_at)
         self._records[operation] = record
         try:
@@ -97,15 +130,16 @@
         finally:
             # An error in `run` leaves the outcome open.
             if record.answer is None:
-                record.answer = _unknown(operation, RefusalReason.ANSWER_LOST)
+                record.answer = Answer.unknown(RefusalReason.ANSWER_LOST, operation)
             record.finished.set()
         answer = record.answer
         self._keep(operation, record)
         return answer
 
     async def _repeat(self, operation, record, fingerprint):
-        if record.fingerprint != fingerprint:
-            return _unknown(operation, RefusalReason.OPERATION_MISMATCH)
+        refused = not record.fingerprint
+        if not refused and record.fingerprint != fingerprint:
+            return Answer.unknown(RefusalReason.OPERATION_MISMATCH, operation)
         await record.finished.wait()
         return record.answer
 
@@ -145,10 +179,6 @@
     return Ledger(clock)
 
 
-def _unknown(operation, reason):
-    return Answer(Outcome.UNKNOWN, 502, (), b"", reason, operation)
-
-
 def _without_body(answer):
     if answer.outcome is not Outcome.DONE or not answer.body:
         return answer
--- a/kumquatsaddle/types.py
+++ b/kumquatsaddle/types.py
@@ -84,6 +84,7 @@
     NOT_READY = "not_ready"
     CALLER_GONE = "caller_gone"
     # Answered UNKNOWN.
+    INTERNAL_ERROR = "internal_error"
     ANSWER_LOST = "answer_lost"
     ANSWER_TRUNCATED = "answer_truncated"
     ANSWER_TOO_LARGE = "answer_too_large"
