--- a/kumquatsaddle/entry/claiming.py
+++ b/kumquatsaddle/entry/claiming.py
@@ -83,7 +83,9 @@
         return answer
     member = node.table.find_incarnation(claim.incarnation)
     if member is not None and member.state is not InstanceState.DEAD:
-        return await router.ask_issuer(request, claim.incarnation)
+        answer = await router.ask_issuer(request, claim.incarnation)
+        if answer.reason is not RefusalReason.ISSUER_GONE:
+            return answer
     return _read_record(claim)
 
 
--- a/kumquatsaddle/testing/fleet.py
+++ b/kumquatsaddle/testing/fleet.py
@@ -50,6 +50,7 @@
         self.application = application
         self.platform = platform
         self.scope = trio.CancelScope()
+        self.leaving = False
         self.ended = trio.Event()
 
     @property
@@ -158,6 +159,30 @@
         raw = await self.call(entry.callers, "POST", target)
         return json.loads(raw.body)["operations"]
 
+    def alive(self):
+        """Return the instances that run and have not been told to stop."""
+        return [
+            entry
+            for entry in self.nodes
+            if not entry.ended.is_set() and not entry.leaving
+        ]
+
+    async def replace_node(self, entry):
+        """Start a new instance with the name and zone of one that ended."""
+        self.nodes.remove(entry)
+        settings = entry.node.settings
+        new = await self.add_node(entry.node.name, settings.get("instance", "zone"))
+        new.platform.down = entry.platform.down
+        return new
+
+    def bodies(self):
+        """Return how often each request body ran on the backend servers."""
+        totals = {}
+        for standin in self.backends.values():
+            for body, count in standin.bodies.items():
+                totals[body] = totals.get(body, 0) + count
+        return totals
+
     def executions(self):
         """Return how often each operation id ran on the backend servers."""
         totals = {}
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -17,7 +17,8 @@
 - ``flap_period``: seconds of bad behaviour, then of good, and so on; 0 is off;
 - ``draining``: true refuses new work as unprocessed and says so.
 
-``GET /.executions`` returns how often each operation id ran. ``GET /health`` always
+``GET /.executions`` returns how often each operation id ran, ``GET /.bodies`` the
+same by request body. ``GET /health`` always
 answers that all is well: the health endpoint misleads.
 """
 
@@ -53,18 +54,24 @@
         self.name = name
         self.slots = slots
         self.work = work
-        self.mode = {
-            "error_rate": 0.0,
-            "slow_factor": 1.0,
-            "cut_rate": 0.0,
-            "flap_period": 0.0,
-            "draining": False,
-        }
+        self.mode = {}
+        self.reset_mode()
         self.executions = {}
+        self.bodies = {}
         self.served = 0
         self.running = 0
         self._rng = random.Random(f"{seed}/{name}")
 
+    def reset_mode(self):
+        """Behave well again."""
+        self.mode.update(
+            error_rate=0.0,
+            slow_factor=1.0,
+            cut_rate=0.0,
+            flap_period=0.0,
+            draining=False,
+        )
+
     async def handle(self, method, target, headers, body):
         """Answer one request."""
         if target == "/.mode":
@@ -72,6 +79,8 @@
             return reply_json(self.mode)
         if target == "/.executions":
             return reply_json(self.executions)
+        if target == "/.bodies":
+            return reply_json(self.bodies)
         if target == "/.served":
             return reply_json({"served": self.served})
         if target == "/health":
@@ -96,6 +105,8 @@
         operation = headers.get("kumquatsaddle-operation")
         if operation:
             self.executions[operation] = self.executions.get(operation, 0) + 1
+            text = body.decode()
+            self.bodies[text] = self.bodies.get(text, 0) + 1
         cut = bad and self._rng.random() < self.mode["cut_rate"]
         answer = {"server": self.name, "target": target, "echo": body.decode()}
         taken = trio.current_time() - started
--- /dev/null
+++ b/tests/at_most_once.feature
@@ -0,0 +1,61 @@
+Feature: Non-idempotent work runs at most once, and "not run" is true
+
+  Scenario Outline: Random faults in a fleet of three instances, seed <seed>
+    # Guards against a second run, a false "not run" and a foreign answer while
+    # answers are cut, links lose bytes in one direction, servers and instances fail,
+    # and the platform is away or loses replies.
+    Given a fleet of 3 instances
+    When callers send orders and lookups for 4 seconds under all faults of seed <seed>
+    Then no order ran twice and none ran that was refused
+    And orders were done
+
+    Examples:
+      | seed |
+      | 11   |
+      | 12   |
+      | 13   |
+      | 14   |
+
+  Scenario: The check finds an instance that forgets its operations
+    # Shows that the check above fails for the naive variant without a ledger.
+    Given instances that do not put operations on record
+    And a fleet of 3 instances
+    When callers send orders and lookups for 4 seconds under cut_answers of seed 21
+    Then the check finds orders that ran twice
+
+  Scenario: The check finds an instance that retries what may have run
+    # Shows that the check above fails for the naive variant that retries lost answers.
+    Given instances that retry orders whose answer was lost
+    And a fleet of 3 instances
+    When callers send orders and lookups for 4 seconds under cut_answers of seed 22
+    Then the check finds orders that ran twice
+
+  Scenario: A repeat at another instance gets the answer on record
+    # Guards against a second run when a caller changes its instance.
+    Given a fleet of 3 instances
+    When an order with an issued id is sent to each instance
+    Then each got the same whole answer
+    And 1 order ran
+
+  Scenario: After a crash of the issuer the outcome is unknown for good
+    # Guards against "not run" being said of an operation that ran.
+    Given a fleet of 3 instances
+    When an order ran and its issuer crashed
+    Then the other instances answer "unknown" to a repeat of the id
+    And 1 order ran
+
+  Scenario: Orders go on while the platform is away
+    # Guards against refusing all orders in an outage of hours.
+    Given a fleet of 3 instances
+    When the platform is away
+    Then orders with issued ids are done at each instance
+    And an order with a key is "not-run" on its first attempt
+    And an order with a key is "unknown" on a later attempt
+    And 3 orders ran
+
+  Scenario: A key that was claimed just before a crash is never run by another
+    # Guards against taking over the claim of a holder that may only be paused.
+    Given a fleet of 3 instances
+    When an instance claims a key and crashes before its order is sent
+    Then the other instances answer "unknown" to a repeat of the key
+    And 0 orders ran
--- /dev/null
+++ b/tests/steps/at_most_once.py
@@ -0,0 +1,187 @@
+from behave import given, then, when
+
+from kumquatsaddle.entry import routing
+from kumquatsaddle.entry.running import fingerprint_request
+from kumquatsaddle.exchange import Request
+from kumquatsaddle.operations.ledger import Ledger
+from kumquatsaddle.testing.chaos import run_chaos
+from kumquatsaddle.testing.fleet import open_fleet
+from kumquatsaddle.testing.loops import start_loop
+from kumquatsaddle.types import Rank, RefusalReason
+
+KEY, OPERATION = "Idempotency-Key", "Kumquatsaddle-Operation"
+
+
+def read_outcome(raw):
+    return raw.get_header(b"kumquatsaddle-outcome").decode()
+
+
+def send_order(context, entry, name, value, *extra):
+    return context.loop.run(
+        context.fleet.call,
+        entry.callers,
+        "POST",
+        "/order",
+        b"order",
+        [(name, value), *extra],
+    )
+
+
+def issue(context, entry):
+    return context.loop.run(context.fleet.issue, entry)[0]
+
+
+def crash(context, entry):
+    async def end():
+        context.fleet.crash(entry)
+        await entry.ended.wait()
+
+    context.loop.run(end)
+
+
+def replace_attribute(context, owner, name, value):
+    original = getattr(owner, name)
+    setattr(owner, name, value)
+    context.add_cleanup(setattr, owner, name, original)
+
+
+@given("a fleet of {count:d} instances")
+def start_fleet(context, count):
+    context.loop = start_loop(context, open_fleet(count, 3, work=0.005))
+    context.fleet = context.loop.resource
+
+
+@given("instances that do not put operations on record")
+def forget_operations(context):
+    async def run_always(self, operation, issued_at, fingerprint, run):
+        return await run()
+
+    replace_attribute(context, Ledger, "run_once", run_always)
+
+
+@given("instances that retry orders whose answer was lost")
+def retry_lost_answers(context):
+    dispatch = routing.Router.dispatch
+    lost = (RefusalReason.ANSWER_LOST, RefusalReason.ANSWER_TRUNCATED)
+
+    async def dispatch_again(self, request):
+        for _ in range(3):
+            answer = await dispatch(self, request)
+            if answer.reason not in lost:
+                break
+        return answer
+
+    replace_attribute(context, routing.Router, "dispatch", dispatch_again)
+
+
+@when(
+    "callers send orders and lookups for {seconds:d} seconds"
+    " under {faults} of seed {seed:d}"
+)
+def send_under_faults(context, seconds, faults, seed):
+    names = None if faults == "all faults" else [faults]
+
+    async def run():
+        context.account = await run_chaos(context.fleet, seed, seconds, names=names)
+
+    context.failure = None
+    try:
+        context.loop.run(run)
+    except AssertionError as error:
+        context.failure = error
+
+
+@then("no order ran twice and none ran that was refused")
+def check_no_failure(context):
+    assert context.failure is None, context.failure
+
+
+@then("orders were done")
+def check_done(context):
+    assert context.account.done
+
+
+@then("the check finds orders that ran twice")
+def check_failure(context):
+    assert "ran twice" in str(context.failure)
+
+
+@when("an order with an issued id is sent to each instance")
+def send_to_each(context):
+    issued = issue(context, context.fleet.nodes[0])
+    context.answers = [
+        send_order(context, entry, OPERATION, issued) for entry in context.fleet.nodes
+    ]
+
+
+@then("each got the same whole answer")
+def check_same(context):
+    assert {read_outcome(raw) for raw in context.answers} == {"done"}
+    assert len({raw.body for raw in context.answers}) == 1
+
+
+@then("{count:d} order ran")
+@then("{count:d} orders ran")
+def check_count(context, count):
+    executions = context.fleet.executions()
+    assert sum(executions.values()) == count, executions
+
+
+@when("an order ran and its issuer crashed")
+def crash_issuer(context):
+    issuer = context.fleet.nodes[0]
+    context.issued = issue(context, issuer)
+    raw = send_order(context, issuer, OPERATION, context.issued)
+    assert read_outcome(raw) == "done"
+    crash(context, issuer)
+
+
+@then('the other instances answer "unknown" to a repeat of the id')
+def check_unknown_id(context):
+    for entry in context.fleet.alive():
+        raw = send_order(context, entry, OPERATION, context.issued)
+        assert read_outcome(raw) == "unknown"
+
+
+@when("the platform is away")
+def end_platform(context):
+    for entry in context.fleet.nodes:
+        entry.platform.down = True
+
+
+@then("orders with issued ids are done at each instance")
+def order_with_ids(context):
+    for entry in context.fleet.nodes:
+        raw = send_order(context, entry, OPERATION, issue(context, entry))
+        assert read_outcome(raw) == "done"
+
+
+@then('an order with a key is "{outcome}" on its first attempt')
+def order_first(context, outcome):
+    first = ("Kumquatsaddle-Attempt", "1")
+    raw = send_order(context, context.fleet.nodes[0], KEY, "k", first)
+    assert read_outcome(raw) == outcome
+
+
+@then('an order with a key is "{outcome}" on a later attempt')
+def order_later(context, outcome):
+    raw = send_order(context, context.fleet.nodes[0], KEY, "k")
+    assert read_outcome(raw) == outcome
+
+
+@when("an instance claims a key and crashes before its order is sent")
+def claim_and_crash(context):
+    holder = context.fleet.nodes[0]
+    order = Request(
+        "POST", "/order", [], b"order", "shop", "order", Rank.STANDARD, False, 0.0
+    )
+    claims = holder.node.claims
+    context.loop.run(claims.claim, "shop", "k", fingerprint_request(order))
+    crash(context, holder)
+
+
+@then('the other instances answer "unknown" to a repeat of the key')
+def check_unknown_key(context):
+    for entry in context.fleet.alive():
+        raw = send_order(context, entry, KEY, "k")
+        assert read_outcome(raw) == "unknown"
