Keep the order of homes of an account until the placement changes

Cause: each request sorted the homes of its service anew, and two demonstrations on one machine met at the same addresses.

Change: a cache of orders cleared with each placement; addresses by process.

--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -4,6 +4,7 @@
 """
 
 import json
+import os
 import secrets
 import signal
 import subprocess
@@ -68,14 +69,15 @@
 
     Parameters
     ----------
-    network : str
-        Second and third number of the loopback addresses.
+    network : str, optional
+        Second and third number of the loopback addresses; by default of their own for
+        each process, so that two fleets on one machine do not meet.
     verbose : bool, default=False
         Whether the instances log at level INFO.
     """
 
-    def __init__(self, network="0.1", verbose=False):
-        self._network = network
+    def __init__(self, network=None, verbose=False):
+        self._network = network or f"{os.getpid() % 250 + 2}.251"
         self._folder = tempfile.TemporaryDirectory(prefix="kumquatsaddle-")
         self.folder = Path(self._folder.name)
         self._verbose = verbose
--- a/kumquatsaddle/addresses/placement.py
+++ b/kumquatsaddle/addresses/placement.py
@@ -18,9 +18,11 @@
     def __init__(self, groups, homes):
         self.groups = groups
         self.homes = homes
-        self._by_service = {}
-        for name, group in groups.items():
-            self._by_service.setdefault(group.service, []).append(name)
+        self._weights = {}
+        for name, home in homes.items():
+            group = groups[name]
+            weights = self._weights.setdefault(group.service, {})
+            weights[home] = weights.get(home, 0) + len(group.members)
 
     def groups_of(self, instance):
         """Return the groups whose home is `instance`."""
@@ -36,13 +38,7 @@
         dict of InstanceId to int
             Number of backend servers at each home.
         """
-        weights = {}
-        for name in self._by_service.get(service, ()):
-            home = self.homes.get(name)
-            if home is not None:
-                members = len(self.groups[name].members)
-                weights[home] = weights.get(home, 0) + members
-        return weights
+        return self._weights.get(service, {})
 
 
 def make_placement(services, backends, candidates):
--- a/kumquatsaddle/lifecycle/node.py
+++ b/kumquatsaddle/lifecycle/node.py
@@ -45,6 +45,10 @@
 _PLACEMENT_INTERVAL = 0.2
 # States in which an instance is answered to callers and is home of groups.
 SERVING = (InstanceState.ALIVE,)
+# States in which an instance still answers requests for the groups it is home of.
+_HOLDING = (InstanceState.ALIVE, InstanceState.IMPAIRED, InstanceState.LEAVING)
+# Orders of homes that are kept, one for each service and account in use.
+_MAX_HOME_ORDERS = 8192
 _RANDOM_KEY_BYTES = 32
 # Claims a second over the whole fleet; each is two writes to a table that takes
 # several hundred a second. Every instance has an equal share and a burst.
@@ -97,6 +101,7 @@
         self.placement = make_placement((), (), ())
         self._placement_key = None
         self._held_groups = {}
+        self._home_orders = {}
         self._wake = trio.Event()
 
     @property
@@ -118,13 +123,19 @@
 
     def order_homes(self, service, account):
         """Return the serving homes of a service in the order of an account."""
-        serving = {member.name for member in self.serving_members()}
-        weights = {
-            name: weight
-            for name, weight in self.placement.homes_of(service).items()
-            if name in serving
-        }
-        return order_homes(weights, service, account)
+        key = (service, account)
+        order = self._home_orders.get(key)
+        if order is None:
+            order = order_homes(self.placement.homes_of(service), service, account)
+            if len(self._home_orders) >= _MAX_HOME_ORDERS:
+                self._home_orders.clear()
+            self._home_orders[key] = order
+        # The placement follows a change of the members with a short delay.
+        return [name for name in order if self._may_serve(name)]
+
+    def _may_serve(self, name):
+        member = self.table.members.get(name)
+        return member is not None and member.state in _HOLDING
 
     async def update_placement(self):
         """Derive the placement again if its inputs have changed."""
@@ -143,6 +154,7 @@
         ]
         services = self.configuration.services
         self.placement = make_placement(services.values(), self.backends, candidates)
+        self._home_orders.clear()
         groups = {group.name: group for group in self.placement.groups_of(self.name)}
         if self.table.own.state is InstanceState.LEAVING:
             # Requests in flight still need the servers that this instance was home of.
