--- /dev/null
+++ b/tests/steps/strangers.py
@@ -0,0 +1,152 @@
+import random
+import secrets
+from contextlib import suppress
+
+import trio
+from behave import then, when
+
+from kumquatsaddle.dispatch.peers import fill_forward
+from kumquatsaddle.entry.routing import TO_HOME
+from kumquatsaddle.exchange import Request
+from kumquatsaddle.membership.members import Member, write_member
+from kumquatsaddle.messages.codec import make_codec
+from kumquatsaddle.messages.frames import write_frame
+from kumquatsaddle.types import InstanceState, Rank
+
+STRANGER = Member(
+    "stranger",
+    "0123456789abcdef",
+    1.0,
+    1,
+    InstanceState.ALIVE,
+    "a",
+    "west",
+    "127.0.0.1:1",
+    "127.0.0.1:1",
+)
+
+
+def control_of(entry):
+    return entry.node.settings.get("listen", "control")
+
+
+def make_stranger():
+    return make_codec("stranger", STRANGER.incarnation, [secrets.token_bytes(32)])
+
+
+def make_member(entry):
+    key = entry.node.settings.get("secrets", "control_key_files")[0]
+    with open(key, "rb") as stream:
+        return make_codec("member", secrets.token_hex(8), [stream.read().strip()])
+
+
+def seal_order(codec, operation):
+    order = Request(
+        "POST", "/order", [], b"x", "shop", "order", Rank.STANDARD, False, 0.0
+    )
+    order.operation = operation
+    envelope = codec.new_envelope()
+    fill_forward(envelope, 1, TO_HOME, order, 2.0)
+    return codec.seal(envelope)
+
+
+async def send_datagram(address, data):
+    with trio.socket.socket(type=trio.socket.SOCK_DGRAM) as sender:
+        await sender.sendto(data, (address.host, address.port))
+
+
+async def send_frame(address, data):
+    stream = await trio.open_tcp_stream(address.host, address.port)
+    async with stream:
+        await write_frame(stream, data)
+        # The instance answers or closes; either way it has read the frame.
+        with trio.move_on_after(2), suppress(trio.BrokenResourceError):
+            await stream.receive_some(1000)
+
+
+@when("a process with another key sends news of a member to each instance")
+def send_news(context):
+    codec = make_stranger()
+    envelope = codec.new_envelope()
+    body = envelope.init("ping")
+    write_member(body.init("updates", 1)[0], STRANGER)
+    data = codec.seal(envelope)
+
+    async def run():
+        for entry in context.fleet.nodes:
+            await send_datagram(control_of(entry), data)
+        await trio.sleep(0.5)
+
+    context.loop.run(run)
+
+
+@then("no instance knows this member")
+def check_unknown(context):
+    for entry in context.fleet.nodes:
+        assert "stranger" not in entry.node.table.members
+
+
+@then("each instance counted a rejected message")
+def check_counted(context):
+    for entry in context.fleet.nodes:
+        counts = entry.node.metrics.counts
+        assert any(name == "messages_rejected" for name, _ in counts), counts
+
+
+@when("a process with another key forwards an order to each instance")
+def forward_order(context):
+    async def run():
+        for entry in context.fleet.nodes:
+            data = seal_order(make_stranger(), "forged.1.1.x")
+            await send_frame(control_of(entry), data)
+
+    context.loop.run(run)
+
+
+@when("a recorded forwarded order is sent {count:d} times to one instance")
+def replay_order(context, count):
+    async def run():
+        entry = find_home(context.fleet)
+        data = seal_order(make_member(entry), "recorded.1.1.x")
+        for _ in range(count):
+            await send_frame(control_of(entry), data)
+
+    context.loop.run(run)
+
+
+def find_home(fleet):
+    for entry in fleet.nodes:
+        if "order" in entry.node.dispatcher.pools:
+            return entry
+    raise AssertionError("no instance is home of the service")
+
+
+@when("broken frames and datagrams reach each instance")
+def send_broken(context):
+    rng = random.Random(1)
+
+    async def run():
+        for entry in context.fleet.nodes:
+            address = control_of(entry)
+            whole = seal_order(make_member(entry), "broken.1.1.x")
+            for _ in range(20):
+                cut = whole[: rng.randrange(len(whole))]
+                await send_datagram(address, cut)
+                await send_raw(address, len(whole).to_bytes(4, "big") + cut)
+                await send_raw(address, rng.randbytes(64))
+
+    context.loop.run(run)
+
+
+async def send_raw(address, data):
+    stream = await trio.open_tcp_stream(address.host, address.port)
+    with suppress(trio.BrokenResourceError):
+        await stream.send_all(data)
+    await stream.aclose()
+
+
+@then("each instance still answers lookups")
+def check_lookups(context):
+    for entry in context.fleet.nodes:
+        raw = context.loop.run(context.fleet.call, entry.callers, "GET", "/lookup")
+        assert raw.status == 200, raw.status
