Judge servers by sequential tests and eject within group tokens

The first version compared with a limit that slow servers raised themselves, ejected over the tokens of all groups, and never let a server return.

Each server now has two capped CUSUMs and its own quantiles; the pool ejects within the tokens of the group, returns servers through PROBATION and WARMING, believes statements about draining, and counts a request as slow when it passes the limit.

--- a/kumquatsaddle/dispatch/dispatcher.py
+++ b/kumquatsaddle/dispatch/dispatcher.py
@@ -40,13 +40,15 @@
         self.max_answer = max_answer
         self.pools = {}
 
-    async def update_groups(self, services, groups):
+    async def update_groups(self, services, groups, new=frozenset()):
         """Take over the groups whose home is this instance.
 
         Parameters
         ----------
         services : dict of ServiceName to Service
         groups : iterable of Group
+        new : collection of BackendId
+            See `ServicePool.update_groups`.
         """
         wanted = {}
         for group in groups:
@@ -54,8 +56,8 @@
         for name, members in wanted.items():
             pool = self.pools.get(name)
             if pool is None:
-                pool = self.pools[name] = make_pool(services[name])
-            await pool.update_groups(services[name], members)
+                pool = self.pools[name] = make_pool(services[name], self.metrics)
+            await pool.update_groups(services[name], members, new)
         for name in set(self.pools) - set(wanted):
             await self.pools[name].update_groups(self.pools[name].service, [])
             if not len(self.pools[name].queue):
@@ -130,7 +132,8 @@
         try:
             if trio.current_time() >= request.deadline:
                 return Answer.refuse(RefusalReason.DEADLINE, request.operation), None
-            return await self._exchange(pool, server, request)
+            with pool.watch_late(server):
+                return await self._exchange(pool, server, request)
         finally:
             server.in_flight -= 1
             pool.serve_waiting()
@@ -161,13 +164,13 @@
             return self._judge_error(pool, server, request, error)
         if scope.cancelled_caught:
             await connection.close()
-            pool.record_answer(server, trio.current_time() - started, True)
+            pool.record_unanswered(server, trio.current_time() - started)
             return Answer.refuse(RefusalReason.ANSWER_LATE, request.operation), None
         await server.return_connection(connection)
         return self._judge_answer(pool, server, request, raw, started)
 
     def _judge_error(self, pool, server, request, error):
-        pool.record_answer(server, 0.0, True)
+        pool.record_failure(server, error.reason)
         answer = Answer.refuse(error.reason, request.operation)
         if not error.written:
             return answer, RetryReason.CONNECT_FAILED
--- a/kumquatsaddle/dispatch/pools.py
+++ b/kumquatsaddle/dispatch/pools.py
@@ -1,16 +1,32 @@
 """The servers of one service at this instance: choice, evidence and ejection."""
 
+from collections import Counter
+from contextlib import contextmanager
+
+import trio
+
 from kumquatsaddle.admission.queue import make_queue
 from kumquatsaddle.dispatch.digests import ServiceDigest
 from kumquatsaddle.dispatch.servers import BackendServer
 from kumquatsaddle.health.baseline import make_baseline
+from kumquatsaddle.health.late import LateRequests
+from kumquatsaddle.health.peers import is_service_slow
+from kumquatsaddle.health.tokens import choose_returns, may_eject
 from kumquatsaddle.logs import log_event
-from kumquatsaddle.types import BackendState
+from kumquatsaddle.types import (
+    BackendState,
+    EjectionCause,
+    RefusalReason,
+    ReturnCause,
+)
 
 __all__ = ["ServicePool", "make_pool"]
 
 # Waiting requests of one rank for each slot of a server.
 _WAITING_PER_SLOT = 64
+# Failed exchanges that say nothing about the server: the fleet refused to send the
+# request, or to take the answer.
+_NO_EVIDENCE = (RefusalReason.BAD_REQUEST, RefusalReason.ANSWER_TOO_LARGE)
 
 
 class ServicePool:
@@ -19,59 +35,84 @@
     Parameters
     ----------
     service : Service
+    metrics : Metrics, optional
+        Default: nothing is counted.
+    clock : callable, default=trio.current_time
+        Returns the time in seconds.
     """
 
-    def __init__(self, service):
+    def __init__(self, service, metrics=None, clock=trio.current_time):
         self.service = service
         self.baseline = make_baseline()
         self.servers = {}
         self.groups = {}
         self.queue = make_queue(service.rank_floors, _WAITING_PER_SLOT * service.slots)
+        self._metrics = metrics
+        self._clock = clock
+        self._group_of = {}
+        self._late = LateRequests()
+        self._choices = 0
 
-    async def update_groups(self, service, groups):
+    async def update_groups(self, service, groups, new=frozenset()):
         """Take over the groups of the service whose home is this instance.
 
         Parameters
         ----------
         service : Service
         groups : iterable of Group
+        new : collection of BackendId
+            Servers that were not in the first list; they start WARMING. Others that
+            this instance did not have start HEALTHY with half of their slots.
         """
         self.service = service
         self.groups = {group.name: group for group in groups}
+        self._group_of = {
+            member.name: group
+            for group in self.groups.values()
+            for member in group.members
+        }
         backends = {
             member.name: member
             for group in self.groups.values()
             for member in group.members
         }
-        for name in set(self.servers) - set(backends):
-            await self.servers.pop(name).close()
+        gone = self._remove_servers(backends)
         for name, backend in backends.items():
-            if name not in self.servers:
-                self.servers[name] = BackendServer(
-                    backend, service.slots, self.baseline
-                )
-            if backend.leaving:
-                self.servers[name].health.state = BackendState.DRAINING
-        self.serve_waiting()
+            if name in self.servers:
+                self.servers[name].update(backend, service.slots)
+            else:
+                self._add_server(backend, name in new or name in gone)
+            self.servers[name].health.drain.listed = backend.leaving
+        self.advance()
+        for server in gone.values():
+            await server.close()
+
+    def update_peers(self, digests):
+        """Take over the digests of the other homes of the service.
+
+        Parameters
+        ----------
+        digests : iterable of ServiceDigest
+        """
+        self.baseline.set_peers((digest.median, digest.p99) for digest in digests)
 
     def choose_server(self, waiter):
-        """Return the least loaded server with room for a waiter, or None."""
-        request = waiter.request
-        best, best_load = None, None
-        for server in self.servers.values():
-            if server.name in waiter.excluded:
-                continue
-            if not server.has_room(request.idempotent):
-                continue
-            load = server.in_flight / server.limit
-            if best is None or load < best_load:
-                best, best_load = server, load
+        """Return the least loaded server with room for a waiter, or None.
+
+        Servers that look unhealthy but are in use for lack of tokens come last.
+        """
+        fitting = [server for server in self.servers.values() if _fits(server, waiter)]
+        if not fitting:
+            return None
+        best = min(fitting, key=_order_choice)
+        self._choices += 1
+        best.last_chosen = self._choices
         return best
 
     def serve_waiting(self):
         """Give free slots to waiting requests."""
         while len(self.queue):
-            waiter = self.queue.pop(lambda entry: self.choose_server(entry) is not None)
+            waiter = self.queue.pop(self._has_server)
             if waiter is None:
                 return
             server = self.choose_server(waiter)
@@ -82,12 +123,37 @@
     def free_slots(self):
         """Return how many requests could start now."""
         return sum(
-            max(0, int(server.limit) - server.in_flight)
+            server.room()
             for server in self.servers.values()
-            if server.has_room(True)
+            if server.health.accepts(True)
         )
 
-    def record_answer(self, server, latency, failed):
+    @contextmanager
+    def watch_late(self, server, key=None):
+        """Count the request as slow as soon as it is unanswered at the slow limit.
+
+        The task that runs the request enters this context and records the answer
+        inside it, so that the request counts once.
+
+        Parameters
+        ----------
+        server : BackendServer
+        key : hashable, optional
+            Of the request. Default: the current task.
+        """
+        key = _choose_key(key)
+        self.begin_request(server, key)
+        try:
+            yield
+        finally:
+            self._late.end(key)
+
+    def begin_request(self, server, key):
+        """Watch a request until its answer is recorded with the same key."""
+        server.health.note_request()
+        self._late.begin(key, server, self._clock())
+
+    def record_answer(self, server, latency, failed, key=None):
         """Add the sample of an answer to the evidence on a server.
 
         Parameters
@@ -96,13 +162,73 @@
         latency : float
             In seconds.
         failed : bool
+        key : hashable, optional
+            Of the request. Default: the current task.
         """
-        if server.health.add_answer(latency, failed):
-            self._eject(server)
+        counted = self._late.answer(_choose_key(key))
+        self._judge(server, server.health.add_answer(latency, failed, counted))
+
+    def record_unanswered(self, server, latency, key=None):
+        """Add the sample of a request that was given up at its deadline.
+
+        A deadline below the slow limit says nothing about the server.
+        """
+        if latency > self.baseline.slow_limit:
+            self.record_answer(server, latency, True, key)
+
+    def record_failure(self, server, reason, key=None):
+        """Add the sample of a failed exchange.
+
+        Parameters
+        ----------
+        server : BackendServer
+        reason : RefusalReason
+        key : hashable, optional
+            Of the request. Default: the current task.
+        """
+        if reason is RefusalReason.BACKEND_UNREACHABLE:
+            self._late.answer(_choose_key(key))
+            self._judge(server, server.health.add_unreachable())
+            self._balance(self._group_of.get(server.name))
+        elif reason not in _NO_EVIDENCE:
+            self.record_answer(server, 0.0, True, key)
 
     def record_draining(self, server):
-        """Send no more work to a server that says it is draining."""
-        server.health.state = BackendState.DRAINING
+        """Send no more work to a server that says on an answer that it is draining."""
+        server.health.drain.note_answer(self._clock())
+        self._apply_drain(server)
+
+    def record_probe(self, server, draining):
+        """Note whether the health endpoint of a server says that it is draining."""
+        server.health.drain.note_probe(draining)
+        self._apply_drain(server)
+
+    def advance(self):
+        """Count late requests and apply the changes of state that are due."""
+        late = self._late.take_late(self._clock(), self.baseline.slow_limit)
+        for server in late:
+            self._judge(server, server.health.add_late())
+        for server in self.servers.values():
+            self._apply_drain(server)
+            cause = server.health.advance()
+            if cause is not None:
+                self._note_return(server.health, cause)
+        for group in self.groups.values():
+            self._balance(group)
+        self.serve_waiting()
+
+    def update_gauges(self):
+        """Set the gauges of the servers by state."""
+        if self._metrics is None:
+            return
+        states = Counter(server.health.state for server in self.servers.values())
+        for state in BackendState:
+            self._metrics.set_gauge(
+                "backend_servers",
+                states[state],
+                service=self.service.name,
+                state=state.value,
+            )
 
     def describe(self):
         """Return the `ServiceDigest` of this home."""
@@ -115,19 +241,99 @@
             len(self.queue),
         )
 
-    def _eject(self, server):
-        if server.health.state is not BackendState.HEALTHY:
-            return
-        tokens = sum(group.tokens for group in self.groups.values())
-        ejected = sum(
-            entry.health.state is BackendState.EJECTED
-            for entry in self.servers.values()
+    def _remove_servers(self, backends):
+        """Remove the servers that are not listed here any more and return them."""
+        gone = {
+            name: server
+            for name, server in self.servers.items()
+            if name not in backends or backends[name].address != server.backend.address
+        }
+        for name, server in gone.items():
+            del self.servers[name]
+            server.health.leave()
+        return gone
+
+    def _add_server(self, backend, cold):
+        server = BackendServer(
+            backend, self.service.slots, self.baseline, clock=self._clock
         )
-        if ejected < tokens:
-            server.health.eject()
-            log_event("backend_ejected", backend=server.name)
+        if cold:
+            server.health.start_cold()
+        else:
+            server.health.start_taken_over()
+        self.servers[backend.name] = server
+
+    def _has_server(self, waiter):
+        return any(_fits(server, waiter) for server in self.servers.values())
+
+    def _judge(self, server, cause):
+        """Eject a server for a cause if the tokens of its group allow it."""
+        health, group = server.health, self._group_of.get(server.name)
+        if cause is None or group is None:
+            return
+        if cause is EjectionCause.SLOW and self._is_service_slow(health):
+            health.excuse_slow()
+        elif may_eject(health, self._members(group), group.tokens):
+            health.eject()
+            self._count("ejections", cause=cause.value)
+            log_event("backend_ejected", backend=server.name, cause=cause.value)
+        elif health.suspend():
+            self._count("ejections_withheld", cause=cause.value)
+            log_event("ejection_withheld", backend=server.name, cause=cause.value)
 
+    def _is_service_slow(self, health):
+        peers = [server.health for server in self.servers.values()]
+        return is_service_slow(health, peers, self.baseline, self._clock())
 
-def make_pool(service):
+    def _balance(self, group):
+        """Return ejected members of a group that has too few tokens for them."""
+        if group is None:
+            return
+        for health in choose_returns(self._members(group), group.tokens):
+            health.restore()
+            self._note_return(health, ReturnCause.ALLOWANCE)
+
+    def _members(self, group):
+        return [self.servers[member.name].health for member in group.members]
+
+    def _apply_drain(self, server):
+        health = server.health
+        draining = health.state is BackendState.DRAINING
+        holds = health.drain.holds(self._clock())
+        if holds == draining or health.state is BackendState.GONE:
+            return
+        if holds:
+            health.start_draining()
+            log_event("backend_draining", backend=server.name)
+        else:
+            health.drain.end()
+            health.start_cold()
+            log_event("backend_draining_ended", backend=server.name)
+        self._balance(self._group_of.get(server.name))
+
+    def _note_return(self, health, cause):
+        self._count("returns", cause=cause.value)
+        log_event("backend_returned", backend=health.name, cause=cause.value)
+
+    def _count(self, name, **labels):
+        if self._metrics is not None:
+            self._metrics.count(name, **labels)
+
+
+def make_pool(service, metrics=None, clock=trio.current_time):
     """Return a pool without servers; see `ServicePool`."""
-    return ServicePool(service)
+    return ServicePool(service, metrics, clock)
+
+
+def _fits(server, waiter):
+    return server.name not in waiter.excluded and server.has_room(
+        waiter.request.idempotent
+    )
+
+
+def _order_choice(server):
+    return server.health.suspect, server.load(), server.last_chosen
+
+
+def _choose_key(key):
+    return trio.lowlevel.current_task() if key is None else key
--- a/kumquatsaddle/health/__init__.py
+++ b/kumquatsaddle/health/__init__.py
@@ -1,11 +1,13 @@
 """Judges backend servers by real work: detection, ejection within tokens, return."""
 
 from kumquatsaddle.health.baseline import LatencyBaseline, make_baseline
+from kumquatsaddle.health.judge import ServerHealth
 from kumquatsaddle.health.sequential import Cusum, make_error_test, make_slow_test
 
 __all__ = [
     "Cusum",
     "LatencyBaseline",
+    "ServerHealth",
     "make_baseline",
     "make_error_test",
     "make_slow_test",
--- a/kumquatsaddle/lifecycle/node.py
+++ b/kumquatsaddle/lifecycle/node.py
@@ -23,6 +23,8 @@
 from kumquatsaddle.entry.control import make_control_server
 from kumquatsaddle.entry.proxy import make_proxy
 from kumquatsaddle.exceptions import ConfigurationError, PlatformError
+from kumquatsaddle.health.newcomers import Newcomers
+from kumquatsaddle.health.probes import watch_pools
 from kumquatsaddle.lifecycle.application import make_application
 from kumquatsaddle.logs import log_event
 from kumquatsaddle.membership.gossip import make_gossip
@@ -78,6 +80,7 @@
         )
         self.links = None
         self.backends = []
+        self.newcomers = Newcomers()
         self.placement = make_placement((), (), ())
         self._placement_key = None
         self._wake = trio.Event()
@@ -126,7 +129,9 @@
         services = self.configuration.services
         self.placement = make_placement(services.values(), self.backends, candidates)
         await self.dispatcher.update_groups(
-            services, self.placement.groups_of(self.name)
+            services,
+            self.placement.groups_of(self.name),
+            self.newcomers.current(trio.current_time()),
         )
 
     async def refresh(self):
@@ -152,6 +157,8 @@
             for entry in listed
             if entry.role == "backend"
         ]
+        names = [backend.name for backend in self.backends]
+        self.newcomers.update(names, trio.current_time())
         self.gossip.seeds |= {
             entry.address for entry in listed if entry.role == "entry"
         }
@@ -206,6 +213,7 @@
         await self.update_placement()
         nursery.start_soon(self._poll_platform)
         nursery.start_soon(self._watch_placement)
+        nursery.start_soon(watch_pools, self.dispatcher.pools)
 
     async def stop(self):
         """Leave the address answer, end the work in flight and release the homes."""
--- a/kumquatsaddle/types.py
+++ b/kumquatsaddle/types.py
@@ -25,6 +25,8 @@
     "RefusalReason",
     "RetryReason",
     "BackendState",
+    "EjectionCause",
+    "ReturnCause",
     "InstanceState",
 ]
 
@@ -118,6 +120,25 @@
     GONE = "gone"
 
 
+class EjectionCause(Enum):
+    """Which evidence ejected a backend server."""
+
+    ERRORS = "errors"
+    SLOW = "slow"
+    UNREACHABLE = "unreachable"
+    PROBATION_FAILED = "probation_failed"
+
+
+class ReturnCause(Enum):
+    """Why an ejected backend server gets work again."""
+
+    PROBATION_PASSED = "probation_passed"
+    # No idempotent request came to test it with.
+    PROBATION_IDLE = "probation_idle"
+    # The group has fewer tokens left than ejected members.
+    ALLOWANCE = "allowance"
+
+
 class InstanceState(Enum):
     """State of an instance of the fleet in a member table."""
 
