Test that ejections keep every group and service at its floor

Ejections were checked by no test.

Properties over orders of samples, drains, list and floor changes check each group and the sum over homes, two of which hold the same group. Four simpler rules must fail the same properties.

--- /dev/null
+++ b/kumquatsaddle/health/tests/steps/floor.py
@@ -0,0 +1,231 @@
+import random
+from dataclasses import replace
+
+import trio
+from behave import then
+from hypothesis import given as for_all
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from kumquatsaddle.addresses.groups import Backend, ejection_allowance, plan_groups
+from kumquatsaddle.configuration.entities import parse_entity
+from kumquatsaddle.dispatch.pools import ServicePool
+from kumquatsaddle.types import BackendState, RefusalReason
+
+SERVERS = 12
+service = parse_entity("service", "s", {"floor": 0.5})
+
+
+class CountingPool(ServicePool):
+    """Ejects after 5 consecutive errors, without tokens."""
+
+    def record_answer(self, server, latency, failed, key=None):
+        server.row = getattr(server, "row", 0) + 1 if failed else 0
+        if server.row >= 5:
+            server.health.eject()
+
+    def _balance(self, group):
+        pass
+
+
+class NeverReturning(ServicePool):
+    """Returns no member when the tokens shrink."""
+
+    def _balance(self, group):
+        pass
+
+
+class IgnoresDrained(ServicePool):
+    """Counts ejected members only."""
+
+    def _members(self, group):
+        members = super()._members(group)
+        lost = (BackendState.DRAINING, BackendState.WARMING)
+        return [entry for entry in members if entry.state not in lost]
+
+
+class ServiceTokens(ServicePool):
+    """Gives each group the tokens of the whole service."""
+
+    async def update_groups(self, service, groups, new=frozenset()):
+        groups = [replace(group, tokens=self.allowance) for group in groups]
+        await super().update_groups(service, groups, new)
+
+
+RULES = {
+    rule.__name__: rule
+    for rule in (
+        ServicePool,
+        CountingPool,
+        NeverReturning,
+        IgnoresDrained,
+        ServiceTokens,
+    )
+}
+
+# Kinds of events; the argument of each is derived from a number of 0 to 59.
+SAMPLE_EVENTS = ["errors", "slow", "late", "good", "unreachable", "wait"]
+STATE_EVENTS = ["drain", "probe_drain", "probe_clear"]
+LIST_EVENTS = ["leave", "resize", "floor"]
+
+
+def draw_events(kinds):
+    event = st.tuples(
+        st.sampled_from(kinds), st.integers(0, SERVERS - 1), st.integers(0, 59)
+    )
+    return st.lists(event, min_size=8, max_size=50)
+
+
+class Fleet:
+    """Pools of one service that see the same list, in simulated time."""
+
+    def __init__(self, rule, homes, floor=0.5):
+        self.now, self.key, self.size, self.floor = 100.0, 0, SERVERS, floor
+        self.leaving, self.drained, self.homes = set(), set(), homes
+        self.pools = [rule(service, None, lambda: self.now) for _ in range(homes)]
+        self.place()
+
+    def place(self, new=frozenset()):
+        backends = [
+            Backend(f"b{n}", "s", f"127.0.0.1:{n + 1}", "z", "r", n in self.leaving)
+            for n in range(self.size)
+        ]
+        self.groups = plan_groups("s", backends, self.floor)
+        for index, pool in enumerate(self.pools):
+            pool.allowance = ejection_allowance(self.size, self.floor)
+            own = [g for i, g in enumerate(self.groups) if i % self.homes == index]
+            if self.homes > 1 and index == 1:
+                # This home believes that it has the first group as well.
+                own.append(self.groups[0])
+            trio.run(pool.update_groups, service, own, new)
+
+    def apply(self, kind, number, amount):
+        """Apply an event; a sample reaches each home that has the server."""
+        if kind == "wait":
+            self.now += amount
+        elif kind == "floor":
+            self.floor = amount / 59
+            self.place()
+        elif kind == "resize":
+            old, self.size = self.size, 1 + amount % SERVERS
+            self.place({f"b{n}" for n in range(old, self.size)})
+        elif kind == "leave":
+            self.leaving ^= {number}
+            self.place()
+        else:
+            # An even amount reaches one of two homes only.
+            chosen = self.pools if amount % 2 else self.pools[amount // 2 % 2 :][:1]
+            for pool in chosen:
+                if f"b{number}" in pool.servers:
+                    self.sample(pool, pool.servers[f"b{number}"], kind, amount)
+        for pool in self.pools:
+            pool.advance()
+
+    def sample(self, pool, server, kind, amount):
+        if kind == "drain":
+            pool.record_draining(server)
+        elif kind in ("probe_drain", "probe_clear"):
+            pool.record_probe(server, kind == "probe_drain")
+        elif kind == "unreachable":
+            for _ in range(amount % 10):
+                pool.record_failure(server, RefusalReason.BACKEND_UNREACHABLE, "k")
+        else:
+            for _ in range(amount):
+                if server.health.accepts(True):
+                    self.exchange(pool, server, kind)
+        if kind in ("drain", "probe_drain"):
+            self.drained.add(server.name)
+
+    def exchange(self, pool, server, kind):
+        self.key += 1
+        self.now += 0.01
+        pool.begin_request(server, self.key)
+        if kind == "late":
+            self.now += 1.5
+            pool.advance()
+        latency = 9.0 if kind in ("slow", "late") else 0.02
+        pool.record_answer(server, latency, kind == "errors", self.key)
+
+
+def check_groups(rule, events, floor):
+    fleet = Fleet(rule, 1, floor)
+    for event in events:
+        fleet.apply(*event)
+        pool = fleet.pools[0]
+        for group in fleet.groups:
+            members = [pool.servers[member.name].health for member in group.members]
+            out = [
+                entry
+                for entry in members
+                if entry.state in (BackendState.EJECTED, BackendState.PROBATION)
+            ]
+            healthy = [
+                entry
+                for entry in members
+                if entry.state is BackendState.HEALTHY and not entry.unreachable
+            ]
+            # Below this only by causes other than ejections.
+            assert not out or len(healthy) >= len(members) - group.tokens, event
+
+
+def check_homes(rule, events, floor):
+    fleet = Fleet(rule, 2, floor)
+    allowance = ejection_allowance(SERVERS, floor)
+    for event in events:
+        fleet.apply(*event)
+        working = {
+            server.name
+            for pool in fleet.pools
+            for server in pool.servers.values()
+            if server.health.state in (BackendState.HEALTHY, BackendState.WARMING)
+        }
+        assert len(working | fleet.drained) >= SERVERS - allowance, event
+
+
+def expect_violation(check, kinds):
+    """Fail unless some of many random orders of events violates the property."""
+    rng = random.Random(7)
+    for _ in range(300):
+        events = [
+            (rng.choice(kinds), rng.randrange(SERVERS), rng.randrange(60))
+            for _ in range(50)
+        ]
+        try:
+            check(events, rng.random())
+        except AssertionError:
+            return
+    raise AssertionError("the property holds for a rule that is known to be wrong")
+
+
+GROUP_EVENTS = SAMPLE_EVENTS + STATE_EVENTS + LIST_EVENTS
+HOME_EVENTS = 3 * SAMPLE_EVENTS + STATE_EVENTS
+
+
+@then("no order of events makes a pool of {rule} eject beyond its tokens")
+def check_tokens_kept(context, rule):
+    @settings(max_examples=300)
+    @for_all(draw_events(GROUP_EVENTS), st.floats(0, 1))
+    def check(events, floor):
+        check_groups(RULES[rule], events, floor)
+
+    check()
+
+
+@then("some order of events makes a pool of {rule} eject beyond its tokens")
+def check_tokens_broken(context, rule):
+    expect_violation(lambda *drawn: check_groups(RULES[rule], *drawn), GROUP_EVENTS)
+
+
+@then("no order of events makes homes of {rule} leave a service below its floor")
+def check_floor_kept(context, rule):
+    @settings(max_examples=300)
+    @for_all(draw_events(HOME_EVENTS), st.floats(0, 1))
+    def check(events, floor):
+        check_homes(RULES[rule], events, floor)
+
+    check()
+
+
+@then("some order of events makes homes of {rule} leave a service below its floor")
+def check_floor_broken(context, rule):
+    expect_violation(lambda *drawn: check_homes(RULES[rule], *drawn), HOME_EVENTS)
