--- /dev/null
+++ b/kumquatsaddle/testing/pools.py
@@ -0,0 +1,58 @@
+"""A pool of backend servers in simulated time."""
+
+import trio
+
+from kumquatsaddle.addresses.groups import Backend, Group
+from kumquatsaddle.configuration.entities import parse_entity
+from kumquatsaddle.dispatch.pools import make_pool
+from kumquatsaddle.metrics import make_metrics
+
+__all__ = ["SERVICE", "PoolBench", "read_count"]
+
+SERVICE = parse_entity("service", "s", {"floor": 0.5, "slots": 6})
+
+
+class PoolBench:
+    """A pool of one group with 2 tokens, in simulated time.
+
+    Attributes
+    ----------
+    now : float
+        The time in seconds.
+    """
+
+    def __init__(self):
+        self.now, self.key, self.metrics = 100.0, 0, make_metrics()
+        self.pool = make_pool(SERVICE, self.metrics, lambda: self.now)
+        self.list_servers(4)
+
+    def list_servers(self, count, new=frozenset(), leaving=()):
+        """Take over a list of `count` servers."""
+        members = tuple(
+            Backend(f"b{n}", "s", f"127.0.0.1:{n + 1}", "z", "r", f"b{n}" in leaving)
+            for n in range(count)
+        )
+        group = Group("g", "s", "z", "r", members, 2)
+        trio.run(self.pool.update_groups, SERVICE, [group], new)
+
+    def health(self, name):
+        """Return the `ServerHealth` of a server."""
+        return self.pool.servers[name].health
+
+    def exchange(self, name, latency=0.02, failed=False):
+        """Run a request that is answered after `latency` seconds."""
+        server = self.pool.servers[name]
+        self.key += 1
+        self.pool.begin_request(server, self.key)
+        self.now += min(latency, 0.02)
+        self.pool.record_answer(server, latency, failed, self.key)
+
+    def wait(self, seconds):
+        """Let `seconds` pass."""
+        self.now += seconds
+        self.pool.advance()
+
+
+def read_count(metrics, name, **labels):
+    """Return the value of a counter; 0 if nothing was counted."""
+    return metrics.counts.get((name, tuple(sorted(labels.items()))), 0)
