Start the health counters at zero and keep the gauges current

Counters appeared with their first event, and the gauges of a service whose last group moved away kept their values. The property test hid a late return behind a tick.

--- a/benchmarks/detection.py
+++ b/benchmarks/detection.py
@@ -207,7 +207,7 @@
     causes = {
         labels[0][1]: value
         for (name, labels), value in sim.metrics.counts.items()
-        if name == "ejections"
+        if name == "ejections" and value
     }
     own = sim.ejected.get("b0")
     return own is not None, sim.count("ejections"), causes
--- a/kumquatsaddle/dispatch/pools.py
+++ b/kumquatsaddle/dispatch/pools.py
@@ -52,6 +52,11 @@
         self._group_of = {}
         self._late = LateRequests()
         self._choices = 0
+        for cause in EjectionCause:
+            self._count("ejections", 0, cause=cause.value)
+            self._count("ejections_withheld", 0, cause=cause.value)
+        for cause in ReturnCause:
+            self._count("returns", 0, cause=cause.value)
 
     async def update_groups(self, service, groups, new=frozenset()):
         """Take over the groups of the service whose home is this instance.
@@ -84,6 +89,7 @@
                 self._add_server(backend, name in new or name in gone)
             self.servers[name].health.drain.listed = backend.leaving
         self.advance()
+        self.update_gauges()
         for server in gone.values():
             await server.close()
 
@@ -315,9 +321,9 @@
         self._count("returns", cause=cause.value)
         log_event("backend_returned", backend=health.name, cause=cause.value)
 
-    def _count(self, name, **labels):
+    def _count(self, name, amount=1, **labels):
         if self._metrics is not None:
-            self._metrics.count(name, **labels)
+            self._metrics.count(name, amount, **labels)
 
 
 def make_pool(service, metrics=None, clock=trio.current_time):
--- a/kumquatsaddle/health/tests/steps/floor.py
+++ b/kumquatsaddle/health/tests/steps/floor.py
@@ -103,6 +103,8 @@
         """Apply an event; a sample reaches each home that has the server."""
         if kind == "wait":
             self.now += amount
+            for pool in self.pools:
+                pool.advance()
         elif kind == "floor":
             self.floor = amount / 59
             self.place()
@@ -118,8 +120,6 @@
             for pool in chosen:
                 if f"b{number}" in pool.servers:
                     self.sample(pool, pool.servers[f"b{number}"], kind, amount)
-        for pool in self.pools:
-            pool.advance()
 
     def sample(self, pool, server, kind, amount):
         if kind == "drain":
