--- a/kumquatsaddle/lifecycle/node.py
+++ b/kumquatsaddle/lifecycle/node.py
@@ -25,6 +25,8 @@
 from kumquatsaddle.entry.control import make_control_server
 from kumquatsaddle.entry.proxy import make_proxy
 from kumquatsaddle.exceptions import ConfigurationError, PlatformError
+from kumquatsaddle.health.newcomers import Newcomers
+from kumquatsaddle.health.probes import watch_pools
 from kumquatsaddle.lifecycle.application import make_application
 from kumquatsaddle.lifecycle.pauses import make_pause_watch
 from kumquatsaddle.logs import log_event
@@ -98,6 +100,7 @@
         self.links = None
         self._nursery = None
         self.backends = []
+        self.newcomers = Newcomers()
         self.placement = make_placement((), (), ())
         self._placement_key = None
         self._held_groups = {}
@@ -160,7 +163,11 @@
             # Requests in flight still need the servers that this instance was home of.
             groups = self._held_groups | groups
         self._held_groups = groups
-        await self.dispatcher.update_groups(services, groups.values())
+        await self.dispatcher.update_groups(
+            services,
+            groups.values(),
+            self.newcomers.current(trio.current_time()),
+        )
 
     async def refresh(self):
         """Read the list of instances and the change log from the platform.
@@ -185,6 +192,8 @@
             for entry in listed
             if entry.role == "backend"
         ]
+        names = [backend.name for backend in self.backends]
+        self.newcomers.update(names, trio.current_time())
         self.gossip.seeds |= {
             entry.address for entry in listed if entry.role == "entry"
         }
@@ -245,6 +254,7 @@
         await self.update_placement()
         nursery.start_soon(self._poll_platform)
         nursery.start_soon(self._watch_placement)
+        nursery.start_soon(watch_pools, self.dispatcher.pools)
 
     async def stop(self):
         """Leave the address answer, end the work in flight and release the homes."""
