--- a/standins/backend.py
+++ b/standins/backend.py
@@ -58,6 +58,8 @@
         self.reset_mode()
         self.executions = {}
         self.bodies = {}
+        # Requests that reached the server, refused ones included.
+        self.received = 0
         self.served = 0
         self.running = 0
         self._rng = random.Random(f"{seed}/{name}")
@@ -85,6 +87,7 @@
             return reply_json({"served": self.served})
         if target == "/health":
             return reply_json({"status": "ok"})
+        self.received += 1
         if self.mode["draining"]:
             return Reply(503, headers=_DRAINING)
         if self.running >= self.slots:
--- /dev/null
+++ b/tests/steps/leaving.py
@@ -0,0 +1,74 @@
+import trio
+from behave import then, when
+
+LOAD_PAUSE = 0.01
+GRACE = 3.0
+WATCHED = 2.0
+
+
+async def send_lookups(fleet, stop):
+    number = 0
+    async with trio.open_nursery() as nursery:
+        while not stop.is_set():
+            entry = fleet.nodes[number % len(fleet.nodes)]
+            number += 1
+            nursery.start_soon(fleet.call, entry.callers, "GET", f"/lookup/{number}")
+            await trio.sleep(LOAD_PAUSE)
+
+
+@when("a server says it is draining while callers send lookups")
+def drain_under_load(context):
+    fleet = context.fleet
+    standin = fleet.backends["lookup-0"]
+
+    async def run():
+        stop = trio.Event()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(send_lookups, fleet, stop)
+            await trio.sleep(0.5)
+            context.before = standin.received
+            standin.mode["draining"] = True
+            await trio.sleep(GRACE)
+            context.at_grace = standin.received
+            await trio.sleep(WATCHED)
+            context.after = standin.received
+            stop.set()
+
+    context.loop.run(run)
+
+
+@then("it gets no request from 3 seconds later on")
+def check_nothing_new(context):
+    assert context.before > 0
+    assert context.after == context.at_grace, (context.at_grace, context.after)
+
+
+@when("the list says that all but one server leave while lookups run on them")
+def leave_under_load(context):
+    fleet = context.fleet
+    context.answers = []
+    for name in ("lookup-0", "lookup-1", "lookup-2"):
+        fleet.backends[name].work = 1.0
+
+    async def send(number):
+        entry = fleet.nodes[number % len(fleet.nodes)]
+        raw = await fleet.call(entry.callers, "GET", f"/lookup/{number}")
+        context.answers.append(raw)
+
+    async def run():
+        async with trio.open_nursery() as nursery:
+            for number in range(9):
+                nursery.start_soon(send, number)
+            await trio.sleep(0.2)
+            for name in ("lookup-0", "lookup-1"):
+                listed = fleet.platform.store.instances[name]
+                fleet.list_backend(
+                    name, listed.service, listed.address, listed.zone, leaving=True
+                )
+
+    context.loop.run(run)
+
+
+@then("each of these lookups gets its whole answer")
+def check_whole(context):
+    assert [raw.status for raw in context.answers] == [200] * 9
