Test whole answers and the floor in a whole fleet

Cause: I1 and I2 need proofs over connections that are used again.

The fixture now waits until all instances derive the same homes.

--- a/kumquatsaddle/testing/fleet.py
+++ b/kumquatsaddle/testing/fleet.py
@@ -199,9 +199,8 @@
             serving = {member.name for member in entry.node.serving_members()}
             if not entry.application.started.is_set() or serving != names:
                 return False
-            if not entry.node.placement.homes:
-                return False
-        return True
+        homes = [entry.node.placement.homes for entry in self.alive()]
+        return bool(homes[0]) and all(held == homes[0] for held in homes)
 
     async def _run_node(self, entry):
         try:
