--- a/kumquatsaddle/admission/limits.py
+++ b/kumquatsaddle/admission/limits.py
@@ -32,14 +32,28 @@
 
     def take(self, now, amount=1.0):
         """Take tokens if there are enough; return whether there were."""
-        grown = self._tokens + (now - self._updated) * self.rate
-        self._tokens = min(self.burst, grown)
-        self._updated = now
+        self._fill(now)
         if self._tokens < amount:
             return False
         self._tokens -= amount
         return True
 
+    def change(self, rate, burst, now):
+        """Use another rate and burst from now on.
+
+        The time until now counts at the former rate: an instance that takes over a
+        limit must not credit itself the full rate for the time at its small share.
+        """
+        self._fill(now)
+        self.rate = rate
+        self.burst = burst
+        self._tokens = min(self._tokens, burst)
+
+    def _fill(self, now):
+        grown = self._tokens + max(0.0, now - self._updated) * self.rate
+        self._tokens = min(self.burst, grown)
+        self._updated = max(self._updated, now)
+
 
 class AccountLimits:
     """The buckets of the accounts that this instance holds limits for."""
@@ -47,6 +61,9 @@
     def __init__(self):
         self._buckets = OrderedDict()
 
+    def __len__(self):
+        return len(self._buckets)
+
     def admit(self, account, service, limit, share, now):
         """Return whether a request is within its account's limit.
 
@@ -68,7 +85,8 @@
         bucket = self._buckets.pop(key, None)
         if bucket is None:
             bucket = TokenBucket(rate, burst, now)
-        bucket.rate, bucket.burst = rate, burst
+        elif (bucket.rate, bucket.burst) != (rate, burst):
+            bucket.change(rate, burst, now)
         self._buckets[key] = bucket
         if len(self._buckets) > _MAX_BUCKETS:
             self._buckets.popitem(last=False)
--- a/kumquatsaddle/dispatch/connections.py
+++ b/kumquatsaddle/dispatch/connections.py
@@ -3,7 +3,8 @@
 An exchange tells exactly how far it came: whether a byte of the request can have
 reached the server, and whether the answer is whole. An answer that is delimited only
 by the end of the connection counts as truncated, because its end cannot be told from
-a cut.
+a cut. A connection on which anything went wrong, an exchange that was cancelled
+included, is never used again, so a late answer has no reader.
 """
 
 import h11
@@ -16,6 +17,12 @@
 
 _READ_BYTES = 65536
 _MAX_HEAD_BYTES = 65536
+# Informational answers (1xx) accepted before the final one.
+_MAX_INFORMATIONAL = 16
+# A server may repeat this header of a request in its answer (see `exchange`).
+REQUEST_HEADER = b"kumquatsaddle-request"
+# Statuses of answers without a body (RFC 9110, section 6.4.1).
+_BODILESS_STATUSES = frozenset({204, 304})
 # Hop-by-hop headers (RFC 9110, section 7.6.1) and those that h11 frames itself.
 HOP_HEADERS = frozenset(
     {
@@ -42,11 +49,14 @@
     reason : RefusalReason
     written : bool
         Whether a byte of the request can have reached the server.
+    answered : bool
+        Whether a byte of an answer arrived.
     """
 
-    def __init__(self, reason, written, detail=""):
+    def __init__(self, reason, written, detail="", answered=False):
         self.reason = reason
         self.written = written
+        self.answered = answered
         super().__init__(f"{reason.value}: {detail}")
 
 
@@ -79,6 +89,9 @@
     def __init__(self, stream):
         self._stream = stream
         self._parser = h11.Connection(h11.CLIENT, _MAX_HEAD_BYTES)
+        self._is_intact = True
+        self._answered = False
+        self._echoes = False
         self.exchanges = 0
 
     def is_reusable(self):
@@ -87,7 +100,7 @@
         A connection with unread bytes is not reusable: they are the end of the
         connection or an answer to no request of ours.
         """
-        if self._parser.our_state is not h11.IDLE:
+        if not self._is_intact or self._parser.our_state is not h11.IDLE:
             return False
         if self._parser.trailing_data[0]:
             return False
@@ -104,7 +117,8 @@
         max_body : int
             Longest body of an answer, in bytes.
         on_written : callable
-            Called without arguments just before the first byte is written.
+            Called without arguments just before the first byte is written. If it
+            raises an error, nothing is written.
 
         Returns
         -------
@@ -113,23 +127,38 @@
         Raises
         ------
         ExchangeError
-            If the connection fails or the answer is invalid, truncated or too long.
+            If the connection fails or the answer is invalid, truncated, too long or
+            belongs to another request.
+
+        Notes
+        -----
+        A server may repeat the request header ``Kumquatsaddle-Request`` in its
+        answer. Another value than that of the request, or no value after an earlier
+        answer on the connection had one, marks an answer to another request.
         """
+        # True again only after the whole answer: any error or cancellation between
+        # leaves the connection unusable.
+        self._is_intact = self._answered = False
         data = self._encode(method, target, headers, body)
         on_written()
         try:
             await self._stream.send_all(data)
-            answer = await self._receive(max_body)
+            answer = await self._receive(method, max_body)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
-            raise ExchangeError(RefusalReason.ANSWER_LOST, True, error) from None
+            raise self._fail(RefusalReason.ANSWER_LOST, error) from None
         except h11.RemoteProtocolError as error:
-            raise ExchangeError(RefusalReason.ANSWER_TRUNCATED, True, error) from None
+            if not self._answered:
+                raise self._fail(RefusalReason.ANSWER_LOST, error) from None
+            raise self._fail(RefusalReason.ANSWER_TRUNCATED, error) from None
+        self._check_echo(headers, answer)
         self.exchanges += 1
         self._start_next_cycle()
+        self._is_intact = True
         return answer
 
     async def close(self):
         """Close the connection at once."""
+        self._is_intact = False
         await trio.aclose_forcefully(self._stream)
 
     def _encode(self, method, target, headers, body):
@@ -142,43 +171,68 @@
         except h11.LocalProtocolError as error:
             raise ExchangeError(RefusalReason.BAD_REQUEST, False, error) from None
 
-    async def _receive(self, max_body):
-        head = await self._next_event()
-        while isinstance(head, h11.InformationalResponse):
-            head = await self._next_event()
-        if not isinstance(head, h11.Response):
-            raise ExchangeError(RefusalReason.ANSWER_LOST, True, "no answer")
+    async def _receive(self, method, max_body):
+        head = await self._receive_head()
+        if not _has_known_end(method, head):
+            raise self._fail(RefusalReason.ANSWER_TRUNCATED, "no single length")
         parts, size = [], 0
         while True:
             event = await self._next_event()
             if isinstance(event, h11.EndOfMessage):
                 break
             if not isinstance(event, h11.Data):
-                raise ExchangeError(RefusalReason.ANSWER_TRUNCATED, True, "no end")
+                raise self._fail(RefusalReason.ANSWER_TRUNCATED, "no end")
             parts.append(bytes(event.data))
             size += len(event.data)
             if size > max_body:
-                raise ExchangeError(RefusalReason.ANSWER_TOO_LARGE, True, size)
-        if parts and not _is_delimited(head):
-            raise ExchangeError(RefusalReason.ANSWER_TRUNCATED, True, "no length")
+                raise self._fail(RefusalReason.ANSWER_TOO_LARGE, size)
         headers = [item for item in head.headers if item[0] not in HOP_HEADERS]
         return RawAnswer(head.status_code, headers, b"".join(parts))
 
+    async def _receive_head(self):
+        for _ in range(_MAX_INFORMATIONAL + 1):
+            head = await self._next_event()
+            if isinstance(head, h11.Response):
+                return head
+            if not isinstance(head, h11.InformationalResponse):
+                raise self._fail(RefusalReason.ANSWER_LOST, "no answer")
+        raise self._fail(RefusalReason.ANSWER_LOST, "only informational answers")
+
     async def _next_event(self):
         while True:
             event = self._parser.next_event()
             if event is not h11.NEED_DATA:
                 return event
-            self._parser.receive_data(await self._stream.receive_some(_READ_BYTES))
+            data = await self._stream.receive_some(_READ_BYTES)
+            self._answered = self._answered or bool(data)
+            self._parser.receive_data(data)
+
+    def _check_echo(self, headers, answer):
+        echo = answer.get_header(REQUEST_HEADER)
+        if echo is None and not self._echoes:
+            return
+        if echo not in [value for name, value in headers if name == REQUEST_HEADER]:
+            raise self._fail(RefusalReason.ANSWER_MISMATCH, "another request")
+        self._echoes = True
+
+    def _fail(self, reason, detail):
+        return ExchangeError(reason, True, detail, self._answered)
 
     def _start_next_cycle(self):
         if self._parser.our_state is h11.DONE is self._parser.their_state:
             self._parser.start_next_cycle()
 
 
-def _is_delimited(head):
+def _has_known_end(method, head):
+    """Return whether the end of an answer can be told from a cut.
+
+    An answer with both a length and a transfer coding is ambiguous (RFC 9112,
+    section 6.3) and counts as one without a known end.
+    """
+    if method == "HEAD" or head.status_code in _BODILESS_STATUSES:
+        return True
     names = {name for name, _ in head.headers}
-    return b"content-length" in names or b"transfer-encoding" in names
+    return (b"content-length" in names) != (b"transfer-encoding" in names)
 
 
 async def open_connection(address, timeout):
--- a/kumquatsaddle/dispatch/dispatcher.py
+++ b/kumquatsaddle/dispatch/dispatcher.py
@@ -5,11 +5,18 @@
 no byte can have reached a server or the server refused them as unprocessed.
 """
 
+from itertools import count
+
 import trio
 
 from kumquatsaddle.admission.queue import Waiter
-from kumquatsaddle.dispatch.connections import ExchangeError
+from kumquatsaddle.dispatch.connections import REQUEST_HEADER, ExchangeError
 from kumquatsaddle.dispatch.pools import make_pool
+from kumquatsaddle.dispatch.retries import (
+    choose_answer,
+    make_budget,
+    reason_to_retry,
+)
 from kumquatsaddle.exceptions import RefusedError
 from kumquatsaddle.exchange import Answer
 from kumquatsaddle.types import Outcome, RefusalReason, RetryReason
@@ -23,6 +30,19 @@
 _UNPROCESSED_HEADER = b"backend-unprocessed"
 _DEADLINE_HEADER = b"kumquatsaddle-deadline-ms"
 _OPERATION_HEADER = b"kumquatsaddle-operation"
+# Headers that only this module writes into a request.
+_OWN_HEADERS = frozenset(
+    {b"host", REQUEST_HEADER, _DEADLINE_HEADER, _OPERATION_HEADER, b"content-length"}
+)
+# Errors that say nothing about the health of the server: the request or the bound on
+# answers is the cause, or nothing was sent.
+_BLAMELESS = frozenset(
+    {
+        RefusalReason.BAD_REQUEST,
+        RefusalReason.ANSWER_TOO_LARGE,
+        RefusalReason.DEADLINE,
+    }
+)
 
 
 class Dispatcher:
@@ -39,6 +59,8 @@
         self.metrics = metrics
         self.max_answer = max_answer
         self.pools = {}
+        self._budgets = {}
+        self._numbers = count(1)
 
     async def update_groups(self, services, groups):
         """Take over the groups whose home is this instance.
@@ -55,11 +77,13 @@
             pool = self.pools.get(name)
             if pool is None:
                 pool = self.pools[name] = make_pool(services[name])
+            pool.queue.rank_floors = services[name].rank_floors
             await pool.update_groups(services[name], members)
         for name in set(self.pools) - set(wanted):
-            await self.pools[name].update_groups(self.pools[name].service, [])
-            if not len(self.pools[name].queue):
-                del self.pools[name]
+            pool = self.pools.pop(name)
+            pool.queue.refuse_all(RefusalReason.NO_BACKEND)
+            self._budgets.pop(name, None)
+            await pool.update_groups(pool.service, [])
 
     async def dispatch(self, request):
         """Run a request on a server of this instance and return the answer.
@@ -73,18 +97,31 @@
         Answer
             NOT_RUN only if no server can have started the request.
         """
-        excluded, answer = frozenset(), None
-        for attempt in range(_MAX_ATTEMPTS):
+        pool = self.pools.get(request.service)
+        if pool is None:
+            return Answer.refuse(RefusalReason.NO_BACKEND, request.operation)
+        budget = self._budgets.setdefault(request.service, make_budget())
+        budget.add_request()
+        excluded, answer, retry = frozenset(), None, None
+        for attempt in range(1, _MAX_ATTEMPTS + 1):
             try:
-                server = await self._take_slot(request, excluded)
+                server = await self._take_slot(pool, request, excluded)
             except RefusedError as error:
+                refusal = Answer.refuse(error.reason, request.operation)
                 # A failed attempt says more than the lack of another server.
-                return answer or Answer.refuse(error.reason, request.operation)
-            answer, retry = await self._attempt(server, request)
-            if retry is None or attempt + 1 == _MAX_ATTEMPTS:
-                return answer
-            self.metrics.count_retry(retry)
+                return answer or refusal
+            if attempt > 1:
+                self.metrics.count_retry(retry)
+            result, retry = await self._attempt(pool, server, request)
+            answer = choose_answer(answer, result)
             excluded |= {server.name}
+            if retry is None or attempt == _MAX_ATTEMPTS:
+                return answer
+            if not set(pool.servers) - excluded:
+                return answer
+            if not budget.take():
+                self.metrics.count("retries_denied", reason=retry.value)
+                return answer
         return answer
 
     def has_room(self, service):
@@ -102,83 +139,99 @@
             for server in pool.servers.values():
                 await server.close()
 
-    async def _take_slot(self, request, excluded):
-        pool = self.pools.get(request.service)
-        if pool is None or not pool.servers:
+    async def _take_slot(self, pool, request, excluded):
+        """Wait for a slot and return its server.
+
+        Raises
+        ------
+        RefusedError
+            If the request is dropped or can no longer be answered in time.
+        """
+        if not pool.servers:
             raise RefusedError(RefusalReason.NO_BACKEND, request.service)
         waiter = Waiter(request, excluded)
-        server = None if len(pool.queue) else pool.choose_server(waiter)
-        if server is not None:
-            server.in_flight += 1
-            return server
+        pool.queue.service_time = pool.baseline.median
         dropped = pool.queue.push(waiter)
         if dropped is not None:
-            dropped.refusal = RefusalReason.QUEUE_FULL
-            dropped.event.set()
-        with trio.move_on_at(request.deadline):
-            await waiter.event.wait()
-        if waiter.refusal is not None:
-            raise RefusedError(waiter.refusal)
-        if waiter.slot is None:
+            dropped.refuse(RefusalReason.QUEUE_FULL)
+        pool.serve_waiting()
+        if not waiter.event.is_set():
+            await self._wait_for_slot(pool, waiter)
+        if waiter.slot is not None:
+            return waiter.slot
+        raise RefusedError(waiter.refusal or RefusalReason.DEADLINE)
+
+    async def _wait_for_slot(self, pool, waiter):
+        try:
+            with trio.move_on_at(waiter.start_by):
+                await waiter.event.wait()
+        except trio.Cancelled:
+            # The slot may have been granted in the same moment.
+            if waiter.slot is not None:
+                _release(pool, waiter.slot)
+            raise
+        finally:
             pool.queue.remove(waiter)
-            raise RefusedError(RefusalReason.DEADLINE)
-        return waiter.slot
 
-    async def _attempt(self, server, request):
+    async def _attempt(self, pool, server, request):
         """Run one attempt; return the answer and the reason to retry, or None."""
-        pool = self.pools[request.service]
         try:
-            if trio.current_time() >= request.deadline:
-                return Answer.refuse(RefusalReason.DEADLINE, request.operation), None
             return await self._exchange(pool, server, request)
         finally:
-            server.in_flight -= 1
-            pool.serve_waiting()
+            _release(pool, server)
 
     async def _exchange(self, pool, server, request):
-        written = False
-        connection = None
+        connection, raw, is_reused, written = None, None, False, False
 
-        def note_written():
+        def check_deadline():
+            # The process may have been paused since the slot was granted.
             nonlocal written
+            if trio.current_time() >= request.deadline:
+                raise ExchangeError(RefusalReason.DEADLINE, False)
             written = True
 
         started = trio.current_time()
         try:
-            connection = await server.take_connection()
-            with trio.move_on_at(request.deadline) as scope:
+            with trio.move_on_at(request.deadline):
+                connection = await server.take_connection()
+                is_reused = connection.exchanges > 0
                 raw = await connection.exchange(
                     request.method,
                     request.target,
-                    _backend_headers(server, request, trio.current_time()),
+                    self._backend_headers(server, request, trio.current_time()),
                     request.body,
                     self.max_answer,
-                    note_written,
+                    check_deadline,
                 )
         except ExchangeError as error:
+            return self._judge_error(pool, server, request, error, is_reused)
+        finally:
             if connection is not None:
-                await connection.close()
-            return self._judge_error(pool, server, request, error)
-        if scope.cancelled_caught:
-            await connection.close()
-            pool.record_answer(server, trio.current_time() - started, True)
-            return Answer.refuse(RefusalReason.ANSWER_LATE, request.operation), None
-        await server.return_connection(connection)
+                await _keep_connection(pool, server, connection, raw)
+        if raw is None:
+            return self._judge_late(pool, server, request, started, written)
         return self._judge_answer(pool, server, request, raw, started)
 
-    def _judge_error(self, pool, server, request, error):
-        pool.record_answer(server, 0.0, True)
+    def _judge_late(self, pool, server, request, started, written):
+        if not written:
+            return Answer.refuse(RefusalReason.DEADLINE, request.operation), None
+        pool.record_answer(server, trio.current_time() - started, True)
+        return Answer.refuse(RefusalReason.ANSWER_LATE, request.operation), None
+
+    def _judge_error(self, pool, server, request, error, is_reused):
+        if error.reason not in _BLAMELESS:
+            pool.record_answer(server, 0.0, True)
         answer = Answer.refuse(error.reason, request.operation)
-        if not error.written:
-            return answer, RetryReason.CONNECT_FAILED
-        return answer, RetryReason.BACKEND_ERROR if request.idempotent else None
+        return answer, reason_to_retry(error, request.idempotent, is_reused)
 
     def _judge_answer(self, pool, server, request, raw, started):
         latency = trio.current_time() - started
-        if raw.get_header(_STATE_HEADER) == b"draining":
+        is_draining = raw.get_header(_STATE_HEADER) == b"draining"
+        if is_draining:
             pool.record_draining(server)
         if raw.status == 503 and raw.get_header(_UNPROCESSED_HEADER):
-            server.note_shed()
+            if not is_draining:
+                server.note_shed()
             answer = Answer.refuse(RefusalReason.BACKEND_SHED, request.operation)
             return answer, RetryReason.BACKEND_SHED
         failed = raw.status >= 500
@@ -186,7 +239,7 @@
         answer = Answer(
             Outcome.DONE,
             raw.status,
-            tuple(raw.headers),
+            tuple(item for item in raw.headers if item[0] != REQUEST_HEADER),
             raw.body,
             None,
             request.operation,
@@ -197,19 +250,37 @@
             server.note_answer()
         return answer, None
 
+    def _backend_headers(self, server, request, now):
+        remaining = max(1, int((request.deadline - now) * 1000))
+        headers = [(b"host", str(server.address).encode())]
+        headers += [item for item in request.headers if item[0] not in _OWN_HEADERS]
+        headers.append((_DEADLINE_HEADER, str(remaining).encode()))
+        headers.append((REQUEST_HEADER, str(next(self._numbers)).encode()))
+        if request.operation:
+            headers.append((_OPERATION_HEADER, request.operation.encode()))
+        if request.body or not request.idempotent:
+            headers.append((b"content-length", str(len(request.body)).encode()))
+        return headers
+
 
 def make_dispatcher(metrics, max_answer):
     """Return a dispatcher without any server; see `Dispatcher`."""
     return Dispatcher(metrics, max_answer)
 
 
-def _backend_headers(server, request, now):
-    remaining = max(1, int((request.deadline - now) * 1000))
-    headers = [(b"host", str(server.address).encode())]
-    headers += request.headers
-    headers.append((_DEADLINE_HEADER, str(remaining).encode()))
-    if request.operation:
-        headers.append((_OPERATION_HEADER, request.operation.encode()))
-    if request.body or not request.idempotent:
-        headers.append((b"content-length", str(len(request.body)).encode()))
-    return headers
+def _release(pool, server):
+    """Give a slot back and hand it to the next waiter."""
+    server.in_flight -= 1
+    pool.serve_waiting()
+
+
+async def _keep_connection(pool, server, connection, raw):
+    """Keep a connection after a whole answer; close it otherwise.
+
+    A server that left the pool meanwhile has closed its idle connections and will
+    not do so again.
+    """
+    if raw is not None and pool.servers.get(server.name) is server:
+        await server.return_connection(connection)
+    else:
+        await connection.close()
--- a/kumquatsaddle/types.py
+++ b/kumquatsaddle/types.py
@@ -88,6 +88,7 @@
     ANSWER_TRUNCATED = "answer_truncated"
     ANSWER_TOO_LARGE = "answer_too_large"
     ANSWER_LATE = "answer_late"
+    ANSWER_MISMATCH = "answer_mismatch"
     ISSUER_GONE = "issuer_gone"
     OPERATION_EXPIRED = "operation_expired"
     # Answered DONE, but without the body.
@@ -103,6 +104,7 @@
     BACKEND_ERROR = "backend_error"
     ANSWER_TRUNCATED = "answer_truncated"
     ANSWER_LATE = "answer_late"
+    ANSWER_MISMATCH = "answer_mismatch"
     PEER_REFUSED = "peer_refused"
     PEER_LOST = "peer_lost"
 
