--- a/kumquatsaddle/dispatch/peers.py
+++ b/kumquatsaddle/dispatch/peers.py
@@ -179,6 +179,7 @@
     body.idempotent = request.idempotent
     body.remainingMs = max(0, int(remaining * 1000))
     body.operation = request.operation
+    body.floor = request.floor
 
 
 def write_answer(envelope, number, answer):
--- a/kumquatsaddle/dispatch/pools.py
+++ b/kumquatsaddle/dispatch/pools.py
@@ -26,7 +26,11 @@
 _WAITING_PER_SLOT = 64
 # Failed exchanges that say nothing about the server: the fleet refused to send the
 # request, or to take the answer.
-_NO_EVIDENCE = (RefusalReason.BAD_REQUEST, RefusalReason.ANSWER_TOO_LARGE)
+_NO_EVIDENCE = (
+    RefusalReason.BAD_REQUEST,
+    RefusalReason.ANSWER_TOO_LARGE,
+    RefusalReason.DEADLINE,
+)
 
 
 class ServicePool:
--- a/kumquatsaddle/entry/control.py
+++ b/kumquatsaddle/entry/control.py
@@ -168,4 +168,5 @@
         idempotent=body.idempotent,
         deadline=now + body.remainingMs / 1000 - delay,
         operation=OperationId(body.operation),
+        floor=body.floor,
     )
--- a/kumquatsaddle/messages/messages.capnp
+++ b/kumquatsaddle/messages/messages.capnp
@@ -82,6 +82,7 @@
   idempotent @9 :Bool;
   remainingMs @10 :UInt32;
   operation @11 :Text;
+  floor @12 :Float32;      # requests a second
 }
 
 struct ForwardReply {
