--- a/kumquatsaddle/dispatch/dispatcher.py
+++ b/kumquatsaddle/dispatch/dispatcher.py
@@ -149,7 +149,8 @@
         if server is not None:
             server.in_flight += 1
             return server
-        pool.queue.service_time = pool.baseline.median
+        # A request that starts with less time than this is mostly answered too late.
+        pool.queue.service_time = min(pool.baseline.p99, 2 * pool.baseline.median)
         dropped = pool.queue.push(waiter)
         if dropped is not None:
             dropped.refuse(RefusalReason.QUEUE_FULL)
--- a/kumquatsaddle/testing/fleet.py
+++ b/kumquatsaddle/testing/fleet.py
@@ -140,9 +140,18 @@
         """End an instance at once, without its stop hooks."""
         entry.scope.cancel()
 
-    async def call(self, address, method, target, body=b"", headers=(), timeout=10.0):
+    async def call(
+        self,
+        address,
+        method,
+        target,
+        body=b"",
+        headers=(),
+        timeout=10.0,
+        account="shop",
+    ):
         """Send one request on a new connection and return the `RawAnswer`."""
-        fields = [("Host", "fleet"), ("Kumquatsaddle-Account", "shop"), *headers]
+        fields = [("Host", "fleet"), ("Kumquatsaddle-Account", account), *headers]
         fields.append(("Content-Length", str(len(body))))
         connection = await open_connection(address, timeout)
         try:
