Harden the server for callers against hostile input and add TLS

h11 accepts bare line feeds, folded lines and repeated lengths; the server read in one task only, so it did not notice callers that go away, and a stop could close a connection whose first byte had just arrived.

Raw heads are checked before h11 parses them; a reader task per connection notices the end of a caller and keeps pipelined bytes; bodies have a minimal rate and a common bound; writes time out; idle connections are closed only when neither the buffer nor the socket holds a byte. TLS contexts towards callers and between instances come from the settings, and SIGHUP re-reads the settings and the certificate.

--- a/kumquatsaddle/entry/callers.py
+++ b/kumquatsaddle/entry/callers.py
@@ -1,20 +1,34 @@
-"""The HTTP/1.1 server for callers, parsed by h11, one task for each connection."""
+"""The HTTP/1.1 server for callers, parsed by h11.
 
-import json
+Each connection has one task that reads and one that answers its requests in order.
+Raw heads are checked by `kumquatsaddle.entry.heads` before h11 parses them.
+"""
+
+import errno
 
 import h11
 import trio
 
+from kumquatsaddle.entry.answers import encode_answer
+from kumquatsaddle.entry.heads import HeadError, check_head, check_headers, find_head
+from kumquatsaddle.entry.streams import CallerStream
+from kumquatsaddle.entry.tls import make_caller_context
 from kumquatsaddle.exchange import Answer
+from kumquatsaddle.logs import log_event
 from kumquatsaddle.types import RefusalReason
 
 __all__ = ["CallerRequest", "CallerServer", "make_caller_server"]
 
-_READ_BYTES = 65536
 _BACKLOG = 512
-_OUTCOME_HEADER = b"Kumquatsaddle-Outcome"
-_REASON_HEADER = b"Kumquatsaddle-Reason"
-_OPERATION_HEADER = b"Kumquatsaddle-Operation"
+# Connections above the limit that are told so at a time; others are closed at once.
+_MOST_REFUSED = 64
+# Bytes of an answer that a caller must take within the write timeout.
+_WRITE_BYTES = 65536
+# Longest time in seconds for a caller to close its side after the last answer.
+_LINGER = 2.0
+# Errors of accept that pass when connections end, and the time in seconds to wait.
+_EXHAUSTED = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+_ACCEPT_PAUSE = 0.1
 # Time in seconds between looks at the connections while draining.
 _DRAIN_POLL = 0.02
 
@@ -44,11 +58,6 @@
         return values[0].decode("ascii") if values else ""
 
 
-class _RequestError(Exception):
-    def __init__(self, reason):
-        self.reason = reason
-
-
 class CallerServer:
     """Accepts callers and answers their requests through the proxy.
 
@@ -59,25 +68,30 @@
     """
 
     def __init__(self, node, proxy):
-        self._node = node
-        self._proxy = proxy
-        self._connections = 0
-        self._in_flight = 0
-        self._leaving = False
+        self.node = node
+        self.proxy = proxy
+        self.leaving = False
+        self.pending_bytes = 0
+        self._connections = set()
+        self._refused = 0
+        self._listeners = []
         self._accepting = trio.CancelScope()
-        self._idle_scopes = set()
+        self._context = make_caller_context(node.settings)
 
     async def run(self, address, task_status=trio.TASK_STATUS_IGNORED):
         """Serve callers at `address` until cancelled or drained."""
-        listeners = await trio.open_tcp_listeners(
+        self._listeners = await trio.open_tcp_listeners(
             address.port, host=address.host, backlog=_BACKLOG
         )
-        task_status.started(listeners)
+        task_status.started(self._listeners)
         async with trio.open_nursery() as connections:
             with self._accepting:
-                await trio.serve_listeners(
-                    self._serve_connection, listeners, handler_nursery=connections
-                )
+                async with trio.open_nursery() as acceptors:
+                    for listener in self._listeners:
+                        acceptors.start_soon(self._accept, listener, connections)
+            await self._accept_backlog(connections)
+            for listener in self._listeners:
+                await listener.aclose()
 
     async def drain(self, notice, grace):
         """Stop accepting callers after `notice` and wait for the work in flight.
@@ -89,172 +103,276 @@
         grace : float
             Longest time in seconds for the work in flight.
         """
-        self._leaving = True
+        self.leaving = True
         await trio.sleep(notice)
         self._accepting.cancel()
-        for scope in list(self._idle_scopes):
-            scope.cancel()
         with trio.move_on_after(grace):
+            await trio.sleep(0)
             while self._connections:
+                for connection in list(self._connections):
+                    connection.close_if_idle()
                 await trio.sleep(_DRAIN_POLL)
 
-    async def _serve_connection(self, stream):
-        metrics = self._node.metrics
-        limit = self._node.settings.get("listen", "max_connections")
-        if self._connections >= limit:
-            metrics.count_refusal(RefusalReason.TOO_MANY_CONNECTIONS)
-            await trio.aclose_forcefully(stream)
-            return
-        self._connections += 1
-        metrics.set_gauge("caller_connections", self._connections)
-        try:
-            await self._serve_requests(stream)
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
-            metrics.count("caller_connections_broken")
-        finally:
-            self._connections -= 1
-            metrics.set_gauge("caller_connections", self._connections)
-            await trio.aclose_forcefully(stream)
+    def use_context(self, context):
+        """Use a TLS context, or None for plain TCP, for new connections."""
+        self._context = context
 
-    async def _serve_requests(self, stream):
-        settings = self._node.settings
-        max_head = settings.get("limits", "header_bytes")
-        parser = h11.Connection(h11.SERVER, max_head)
-        while True:
-            try:
-                request = await self._read_request(parser, stream)
-            except _RequestError as error:
-                self._node.metrics.count_refusal(error.reason)
-                answer = Answer.refuse(error.reason)
-                await self._send_answer(parser, stream, answer, close=True)
-                await _send_end(stream)
-                return
-            if request is None:
+    async def serve_connection(self, stream):
+        """Serve one connection until it ends, and close it."""
+        limit = self.node.settings.get("listen", "max_connections")
+        try:
+            if len(self._connections) >= limit:
+                await self._refuse_connection(stream)
                 return
-            self._in_flight += 1
-            try:
-                answer = await self._proxy.answer(request)
-                await self._send_answer(
-                    parser, stream, answer, close=self._leaving, head=request.method
+            if self._context is not None:
+                stream = trio.SSLStream(
+                    stream, self._context, server_side=True, https_compatible=True
                 )
-            finally:
-                self._in_flight -= 1
-            if parser.our_state is not h11.DONE:
-                return
-            parser.start_next_cycle()
-
-    async def _read_request(self, parser, stream):
-        settings = self._node.settings
-        with trio.CancelScope() as idle:
-            idle.deadline = trio.current_time() + settings.get("limits", "idle_timeout")
-            self._idle_scopes.add(idle)
+            connection = _Connection(self, stream)
+            self._connections.add(connection)
+            self._note_connections()
             try:
-                started = await self._wait_for_bytes(parser, stream)
+                await connection.run()
             finally:
-                self._idle_scopes.discard(idle)
-        if idle.cancelled_caught or not started:
-            return None
-        with trio.move_on_after(settings.get("limits", "head_timeout")):
-            try:
-                return await self._read_whole(parser, stream)
-            except h11.RemoteProtocolError as error:
-                raise _RequestError(_reason_of(error)) from None
-        raise _RequestError(RefusalReason.REQUEST_TIMEOUT)
-
-    async def _wait_for_bytes(self, parser, stream):
-        if parser.trailing_data[0]:
-            return True
-        data = await stream.receive_some(_READ_BYTES)
-        parser.receive_data(data)
-        return bool(data)
-
-    async def _read_whole(self, parser, stream):
-        head = await self._next_event(parser, stream)
-        if not isinstance(head, h11.Request):
-            return None
-        _check_head(head)
-        max_body = self._node.settings.get("limits", "body_bytes")
-        parts, size = [], 0
-        while True:
-            event = await self._next_event(parser, stream)
-            if isinstance(event, h11.EndOfMessage):
-                break
-            if not isinstance(event, h11.Data):
-                return None
-            size += len(event.data)
-            if size > max_body:
-                raise _RequestError(RefusalReason.BODY_TOO_LARGE)
-            parts.append(bytes(event.data))
-        return CallerRequest(
-            head.method.decode("ascii"),
-            head.target.decode("ascii"),
-            list(head.headers),
-            b"".join(parts),
-        )
+                self._connections.discard(connection)
+                self._note_connections()
+        finally:
+            await trio.aclose_forcefully(stream)
 
-    async def _next_event(self, parser, stream):
+    async def _accept(self, listener, nursery):
         while True:
-            if parser.they_are_waiting_for_100_continue:
-                go_on = h11.InformationalResponse(status_code=100, headers=[])
-                await stream.send_all(parser.send(go_on))
-            event = parser.next_event()
-            if event is not h11.NEED_DATA:
-                return event
-            parser.receive_data(await stream.receive_some(_READ_BYTES))
-
-    async def _send_answer(self, parser, stream, answer, close, head=""):
-        if parser.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            try:
+                stream = await listener.accept()
+            except OSError as error:
+                if error.errno not in _EXHAUSTED:
+                    raise
+                self.node.metrics.count("accepts_failed")
+                await trio.sleep(_ACCEPT_PAUSE)
+                continue
+            nursery.start_soon(self.serve_connection, stream)
+
+    async def _accept_backlog(self, nursery):
+        """Accept what the kernel has accepted already; closing would reset it."""
+        for listener in self._listeners:
+            while listener.socket.is_readable():
+                try:
+                    stream = await listener.accept()
+                except (OSError, trio.ClosedResourceError):
+                    break
+                nursery.start_soon(self.serve_connection, stream)
+
+    def _note_connections(self):
+        self.node.metrics.set_gauge("caller_connections", len(self._connections))
+
+    async def _refuse_connection(self, stream):
+        reason = RefusalReason.TOO_MANY_CONNECTIONS
+        self.node.metrics.count_refusal(reason)
+        if self._refused >= _MOST_REFUSED or self._context is not None:
             return
-        body = answer.body or _describe(answer)
-        headers = [
-            item for item in answer.headers if item[0].lower() != b"content-length"
-        ]
-        headers.append((b"Content-Length", str(len(body)).encode()))
-        headers.append((_OUTCOME_HEADER, answer.outcome.value.encode()))
-        if answer.reason is not None:
-            headers.append((_REASON_HEADER, answer.reason.value.encode()))
-        if answer.operation:
-            headers.append((_OPERATION_HEADER, answer.operation.encode()))
-        if close:
-            headers.append((b"Connection", b"close"))
-        response = h11.Response(status_code=answer.status, headers=headers)
-        data = parser.send(response)
-        if body and head != "HEAD":
-            data += parser.send(h11.Data(data=body))
-        await stream.send_all(data + parser.send(h11.EndOfMessage()))
+        self._refused += 1
+        try:
+            with trio.move_on_after(_LINGER):
+                answer = Answer.refuse(reason)
+                await stream.send_all(encode_answer(h11.Connection(h11.SERVER), answer))
+                await stream.send_eof()
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            self.node.metrics.count("caller_connections_broken")
+        finally:
+            self._refused -= 1
 
 
-def make_caller_server(node, proxy):
-    """Return the server for the callers of a node."""
-    return CallerServer(node, proxy)
+class _Connection:
+    """One connection of a caller."""
 
+    def __init__(self, server, stream):
+        self._server = server
+        self._metrics = server.node.metrics
+        self._settings = server.node.settings
+        self._input = CallerStream(stream)
+        self._stream = stream
+        self._parser = None
+        self._idle = None
+        self._held = 0
 
-def _reason_of(error):
-    if error.error_status_hint == 431:
-        return RefusalReason.HEADERS_TOO_LARGE
-    return RefusalReason.BAD_REQUEST
+    async def run(self):
+        """Answer the requests of the connection in order."""
+        try:
+            await self._shake_hands()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._input.run)
+                await self._answer_requests()
+                nursery.cancel_scope.cancel()
+        except* (trio.BrokenResourceError, trio.ClosedResourceError):
+            self._metrics.count("caller_connections_broken")
+        except* trio.TooSlowError:
+            self._metrics.count("caller_timeouts")
+        except* Exception as group:
+            # A fault in the answer to one caller must not end the instance.
+            error = group.exceptions[0]
+            self._metrics.count("caller_connections_failed")
+            log_event("caller_connection_failed", level="ERROR", error=repr(error))
+        finally:
+            self._release()
 
+    def close_if_idle(self):
+        """End the connection if no byte of a request has arrived."""
+        if self._idle is not None and self._input.is_quiet():
+            self._idle.cancel()
 
-def _check_head(head):
-    """Reject heads that a backend server could read in another way."""
-    names = [name for name, _ in head.headers]
-    if b"content-length" in names and b"transfer-encoding" in names:
-        raise _RequestError(RefusalReason.BAD_REQUEST)
-    if head.target[:1] != b"/":
-        raise _RequestError(RefusalReason.BAD_REQUEST)
+    async def _shake_hands(self):
+        if isinstance(self._stream, trio.SSLStream):
+            with trio.fail_after(self._settings.get("limits", "head_timeout")):
+                await self._stream.do_handshake()
 
+    async def _answer_requests(self):
+        self._parser = h11.Connection(h11.SERVER)
+        while await self._wait_for_request():
+            try:
+                request = await self._read_request()
+            except HeadError as error:
+                self._metrics.count_refusal(error.reason)
+                await self._send(Answer.refuse(error.reason), close=True)
+                break
+            answer = await self._run(request)
+            if answer is None:
+                return
+            is_head = request.method == "HEAD"
+            await self._send(answer, self._server.leaving, is_head)
+            self._release()
+            if self._parser.our_state is not h11.DONE:
+                break
+            self._start_next_cycle()
+        else:
+            return
+        await self._input.linger(_LINGER)
+
+    async def _wait_for_request(self):
+        """Return whether a request begins, False once the connection is unused."""
+        timeout = self._settings.get("limits", "idle_timeout")
+        while not self._input.buffer:
+            if self._input.ended:
+                return False
+            with trio.move_on_after(timeout) as self._idle:
+                await self._input.wait()
+            stopped, self._idle = self._idle.cancelled_caught, None
+            if stopped and self._input.is_quiet():
+                # No other task runs between the look and the close, so a byte that
+                # has arrived begins a request, and any later one finds it closed.
+                await trio.aclose_forcefully(self._stream)
+                return False
+        return True
+
+    async def _run(self, request):
+        """Return the answer to a request, or None if its caller has gone.
+
+        A running request is cancelled then; the ledger shields what must not stop.
+        """
+        if self._input.ended:
+            self._metrics.count_refusal(RefusalReason.CALLER_GONE)
+            return Answer.refuse(RefusalReason.CALLER_GONE)
+        answer = None
+        with trio.CancelScope() as self._input.waits_for:
+            answer = await self._server.proxy.answer(request)
+        self._input.waits_for = None
+        if answer is None:
+            self._metrics.count_refusal(RefusalReason.CALLER_GONE)
+        return answer
+
+    async def _read_request(self):
+        head, length = await self._read_head()
+        self._parser.receive_data(head)
+        try:
+            event = self._parser.next_event()
+            check_headers(event.headers)
+            body = await self._read_body(length) if length != 0 else b""
+            if length == 0:
+                self._parser.next_event()
+        except h11.RemoteProtocolError:
+            raise HeadError(RefusalReason.BAD_REQUEST) from None
+        return CallerRequest(
+            event.method.decode("ascii"),
+            event.target.decode("ascii"),
+            list(event.headers),
+            body,
+        )
 
-def _describe(answer):
-    if answer.reason is None:
-        return b""
-    text = {"outcome": answer.outcome.value, "reason": answer.reason.value}
-    if answer.operation:
-        text["operation"] = answer.operation
-    return json.dumps(text).encode() + b"\n"
+    async def _read_head(self):
+        limits = self._settings
+        max_head = limits.get("limits", "header_bytes")
+        with trio.move_on_after(limits.get("limits", "head_timeout")):
+            while not (size := find_head(self._input.buffer, max_head)):
+                if self._input.ended:
+                    raise HeadError(RefusalReason.CALLER_GONE)
+                await self._input.wait()
+            head = self._input.take(size)
+            return head, check_head(head, limits.get("limits", "body_bytes"))
+        raise HeadError(RefusalReason.REQUEST_TIMEOUT)
+
+    async def _read_body(self, length):
+        limits = self._settings
+        timeout = limits.get("limits", "body_timeout")
+        rate = limits.get("limits", "minimum_rate")
+        max_body = limits.get("limits", "body_bytes")
+        await self._continue()
+        parts, size, started = [], 0, trio.current_time()
+        with trio.move_on_after(timeout) as scope:
+            while True:
+                event = await self._next_event(length, size)
+                if isinstance(event, h11.EndOfMessage):
+                    return b"".join(parts)
+                size += len(event.data)
+                if size > max_body:
+                    raise HeadError(RefusalReason.BODY_TOO_LARGE)
+                self._hold(len(event.data))
+                parts.append(bytes(event.data))
+                scope.deadline = started + timeout + size / rate
+        raise HeadError(RefusalReason.REQUEST_TIMEOUT)
+
+    async def _continue(self):
+        if self._parser.they_are_waiting_for_100_continue:
+            go_on = h11.InformationalResponse(status_code=100, headers=[])
+            await self._write(self._parser.send(go_on))
+
+    async def _next_event(self, length, size):
+        while (event := self._parser.next_event()) is h11.NEED_DATA:
+            while not self._input.buffer:
+                if self._input.ended:
+                    raise HeadError(RefusalReason.CALLER_GONE)
+                await self._input.wait()
+            count = None if length is None else length - size
+            self._parser.receive_data(self._input.take(count))
+        return event
+
+    def _start_next_cycle(self):
+        # What h11 holds beyond a chunked body begins the next request, whose head
+        # has to be checked first.
+        data, _ = self._parser.trailing_data
+        if data:
+            self._input.buffer[:0] = data
+            self._parser = h11.Connection(h11.SERVER)
+        else:
+            self._parser.start_next_cycle()
+
+    def _hold(self, size):
+        self._held += size
+        self._server.pending_bytes += size
+        if self._server.pending_bytes > self._settings.get("limits", "pending_bytes"):
+            raise HeadError(RefusalReason.BODIES_TOO_LARGE)
+
+    def _release(self):
+        self._server.pending_bytes -= self._held
+        self._held = 0
+
+    async def _send(self, answer, close, is_head=False):
+        await self._write(encode_answer(self._parser, answer, close, is_head))
+
+    async def _write(self, data):
+        timeout = self._settings.get("limits", "write_timeout")
+        for start in range(0, len(data), _WRITE_BYTES):
+            with trio.fail_after(timeout):
+                await self._stream.send_all(data[start : start + _WRITE_BYTES])
 
 
-async def _send_end(stream):
-    try:
-        await stream.send_eof()
-    except (trio.BrokenResourceError, trio.ClosedResourceError):
-        pass
+def make_caller_server(node, proxy):
+    """Return the server for the callers of a node."""
+    return CallerServer(node, proxy)
--- /dev/null
+++ b/kumquatsaddle/entry/tests/steps/stopping.py
@@ -0,0 +1,282 @@
+import ssl
+import tempfile
+from pathlib import Path
+
+import trio
+import trustme
+from behave import then
+from trio.testing import MockClock, memory_stream_pair
+
+from kumquatsaddle.entry.tls import (
+    make_caller_context,
+    make_control_client_context,
+    make_control_server_context,
+)
+from kumquatsaddle.exceptions import SettingsError
+from kumquatsaddle.settings.parsers import Address
+from kumquatsaddle.testing.callers import (
+    EchoProxy,
+    make_settings,
+    make_test_server,
+    read_responses,
+)
+
+REQUEST = b"GET /stop HTTP/1.1\r\nHost: x\r\n\r\n"
+NOTICE = 3.0
+GRACE = 60.0
+
+
+def run_on_clock(function, *arguments):
+    return trio.run(function, *arguments, clock=MockClock(autojump_threshold=0))
+
+
+async def read_all(stream):
+    return b"".join([part async for part in stream])
+
+
+async def stop_with(server, act, pair=memory_stream_pair):
+    """Run `act` with a connected stream while the server stops; return the rest."""
+    ours, theirs = pair()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(server.serve_connection, theirs)
+        await trio.testing.wait_all_tasks_blocked()
+        nursery.start_soon(act, ours)
+        nursery.start_soon(server.drain, NOTICE, GRACE)
+        data = await read_all(ours)
+        ended = trio.current_time()
+        await ours.aclose()
+    return data, ended
+
+
+def check_last_answer(data):
+    (response,) = read_responses(data)
+    assert response[0] == 200
+    assert response[1][b"connection"] == b"close"
+
+
+@then("a request in flight when the stop begins is answered with Connection: close")
+def check_in_flight(context):
+    async def act(stream):
+        await stream.send_all(REQUEST)
+
+    server = make_test_server(EchoProxy(delay=30.0))
+    data, _ = run_on_clock(stop_with, server, act)
+    check_last_answer(data)
+
+
+@then("a connection without a byte may send its request during the notice period")
+def check_notice(context):
+    async def act(stream):
+        await trio.sleep(NOTICE - 0.5)
+        await stream.send_all(REQUEST[:10])
+        # The rest arrives after the notice period.
+        await trio.sleep(1.0)
+        await stream.send_all(REQUEST[10:])
+
+    data, _ = run_on_clock(stop_with, make_test_server(), act)
+    check_last_answer(data)
+
+
+@then("a connection that the kernel accepted is served although the listener closes")
+def check_backlog(context):
+    async def check():
+        server = make_test_server()
+        async with trio.open_nursery() as nursery:
+            address = Address("127.0.0.1", 0)
+            (listener,) = await nursery.start(server.run, address)
+            port = listener.socket.getsockname()[1]
+            stream = await trio.open_tcp_stream("127.0.0.1", port)
+            await stream.send_all(REQUEST)
+            # No checkpoint of the accepting task lies between these calls.
+            nursery.start_soon(server.drain, 0.0, GRACE)
+            check_last_answer(await read_all(stream))
+            await stream.aclose()
+
+    trio.run(check)
+
+
+@then("idle connections are closed when the notice period ends")
+def check_idle(context):
+    async def act(stream):
+        pass
+
+    data, ended = run_on_clock(stop_with, make_test_server(), act)
+    assert data == b""
+    assert NOTICE <= ended < NOTICE + 1.0, ended
+
+
+@then("a request whose first bytes arrive in that moment is still answered")
+def check_moment(context):
+    # Trio runs tasks that wake together in random order; 20 runs see both orders.
+    for offset in [-1e-9, 0.0, 1e-9] * 20:
+        sent = []
+
+        async def act(stream, offset=offset, sent=sent):
+            await trio.sleep(NOTICE + offset)
+            try:
+                await stream.send_all(REQUEST[:1])
+                sent.append(offset)
+                await trio.sleep(0.5)
+                await stream.send_all(REQUEST[1:])
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                assert not sent
+
+        data, _ = run_on_clock(stop_with, make_test_server(), act, socket_pair)
+        # What could be sent had arrived before the connection was closed.
+        if sent:
+            check_last_answer(data)
+        assert sent or offset >= 0
+
+
+def socket_pair():
+    return tuple(trio.SocketStream(end) for end in trio.socket.socketpair())
+
+
+def write_certificate(folder, authority, name="server"):
+    """Write a certificate and its key; return the two paths."""
+    issued = authority.issue_cert("127.0.0.1")
+    certificate, key = folder / f"{name}.pem", folder / f"{name}.key"
+    issued.cert_chain_pems[0].write_to_path(str(certificate))
+    issued.private_key_pem.write_to_path(str(key))
+    return str(certificate), str(key)
+
+
+def client_context(authority):
+    context = ssl.create_default_context()
+    authority.configure_trust(context)
+    return context
+
+
+async def call_tls(server, context):
+    ours, theirs = memory_stream_pair()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(server.serve_connection, theirs)
+        stream = trio.SSLStream(
+            ours, context, server_hostname="127.0.0.1", https_compatible=True
+        )
+        try:
+            await stream.send_all(
+                REQUEST.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n")
+            )
+            return read_responses(await read_all(stream))[0][0]
+        except trio.BrokenResourceError as error:
+            return type(error.__cause__)
+        finally:
+            await trio.aclose_forcefully(ours)
+
+
+@then("a caller that trusts the authority is answered over TLS")
+def check_tls(context):
+    with tempfile.TemporaryDirectory() as folder:
+        authority = trustme.CA()
+        certificate, key = write_certificate(Path(folder), authority)
+        server = make_test_server(tls__certificate_file=certificate, tls__key_file=key)
+        assert run_on_clock(call_tls, server, client_context(authority)) == 200
+        stranger = client_context(trustme.CA())
+        failure = run_on_clock(call_tls, server, stranger)
+        assert failure is ssl.SSLCertVerificationError
+
+
+@then("a new certificate is used after a reload and a broken one is refused")
+def check_reload(context):
+    with tempfile.TemporaryDirectory() as folder:
+        old, new = trustme.CA(), trustme.CA()
+        certificate, key = write_certificate(Path(folder), old)
+        server = make_test_server(tls__certificate_file=certificate, tls__key_file=key)
+        settings = server.node.settings
+        write_certificate(Path(folder), new)
+        server.use_context(make_caller_context(settings))
+        assert run_on_clock(call_tls, server, client_context(new)) == 200
+        Path(key).write_text("no key")
+        try:
+            make_caller_context(settings)
+        except SettingsError as error:
+            assert (error.section, error.key) == ("tls", "certificate_file")
+            assert error.file == settings.file
+        else:
+            raise AssertionError("a broken key is accepted")
+
+
+@then("a plain or silent caller of a TLS port is dropped in time")
+def check_plain(context):
+    with tempfile.TemporaryDirectory() as folder:
+        certificate, key = write_certificate(Path(folder), trustme.CA())
+        for data in (REQUEST, b""):
+            server = make_test_server(
+                tls__certificate_file=certificate, tls__key_file=key
+            )
+
+            async def call(server=server, data=data):
+                ours, theirs = memory_stream_pair()
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(server.serve_connection, theirs)
+                    await ours.send_all(data)
+                    # Ends with an alert at most, never with a response.
+                    return await read_all(ours)
+
+            assert b"HTTP" not in run_on_clock(call)
+
+
+def control_settings(folder, name, authority, trusted):
+    certificate, key = write_certificate(folder, authority, name)
+    ca_file = folder / f"{name}-ca.pem"
+    trusted.cert_pem.write_to_path(str(ca_file))
+    return make_settings(
+        tls__control_certificate_file=certificate,
+        tls__control_key_file=key,
+        tls__control_ca_file=str(ca_file),
+    )
+
+
+async def shake_hands(server_context, context):
+    """Return the outcomes of both sides, None or the class of the error."""
+    ours, theirs = memory_stream_pair()
+    client = trio.SSLStream(ours, context)
+    server = trio.SSLStream(theirs, server_context, server_side=True)
+    outcomes = {}
+
+    async def act(name, stream):
+        try:
+            await stream.do_handshake()
+            # A client of TLS 1.3 learns of a refusal with the first bytes.
+            await stream.send_all(b"x")
+            await stream.receive_some(1)
+            outcomes[name] = None
+        except trio.BrokenResourceError as error:
+            outcomes[name] = error
+            await trio.aclose_forcefully(stream)
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(act, "client", client)
+        nursery.start_soon(act, "server", server)
+    return outcomes
+
+
+@then("instances with certificates of one authority shake hands")
+def check_mutual(context):
+    with tempfile.TemporaryDirectory() as folder:
+        authority = trustme.CA()
+        one = control_settings(Path(folder), "one", authority, authority)
+        two = control_settings(Path(folder), "two", authority, authority)
+        outcomes = run_on_clock(
+            shake_hands,
+            make_control_server_context(one),
+            make_control_client_context(two),
+        )
+        assert outcomes == {"client": None, "server": None}, outcomes
+    assert make_control_server_context(make_settings()) is None
+
+
+@then("an instance without one or of another authority is refused")
+def check_stranger(context):
+    with tempfile.TemporaryDirectory() as folder:
+        authority, other = trustme.CA(), trustme.CA()
+        one = control_settings(Path(folder), "one", authority, authority)
+        two = control_settings(Path(folder), "two", other, authority)
+        anonymous = client_context(authority)
+        anonymous.check_hostname = False
+        for client in (make_control_client_context(two), anonymous):
+            outcomes = run_on_clock(
+                shake_hands, make_control_server_context(one), client
+            )
+            assert outcomes["server"] is not None
--- a/kumquatsaddle/lifecycle/node.py
+++ b/kumquatsaddle/lifecycle/node.py
@@ -22,9 +22,10 @@
 from kumquatsaddle.entry.callers import make_caller_server
 from kumquatsaddle.entry.control import make_control_server
 from kumquatsaddle.entry.proxy import make_proxy
-from kumquatsaddle.exceptions import ConfigurationError, PlatformError
+from kumquatsaddle.entry.tls import make_caller_context
+from kumquatsaddle.exceptions import ConfigurationError, PlatformError, SettingsError
 from kumquatsaddle.lifecycle.application import make_application
-from kumquatsaddle.logs import log_event
+from kumquatsaddle.logs import log_event, set_log_level
 from kumquatsaddle.membership.gossip import make_gossip
 from kumquatsaddle.membership.members import Member, make_table
 from kumquatsaddle.messages.codec import make_codec
@@ -33,6 +34,7 @@
 from kumquatsaddle.operations.ledger import make_ledger
 from kumquatsaddle.platform.interface import make_platform
 from kumquatsaddle.settings.files import read_secret
+from kumquatsaddle.settings.reload import reload_settings
 from kumquatsaddle.types import BackendId, InstanceState
 
 __all__ = ["Node", "make_node"]
@@ -77,6 +79,7 @@
             self._note_version,
         )
         self.links = None
+        self.callers = None
         self.backends = []
         self.placement = make_placement((), (), ())
         self._placement_key = None
@@ -207,6 +210,23 @@
         nursery.start_soon(self._poll_platform)
         nursery.start_soon(self._watch_placement)
 
+    def reload(self):
+        """Apply the changed settings file and certificate, or report what is wrong."""
+        try:
+            context = make_caller_context(self.settings)
+            changed = reload_settings(self.settings)
+        except SettingsError as error:
+            self.metrics.count("reloads_refused")
+            log_event("reload_refused", level="ERROR", error=error)
+            return
+        if self.callers is not None:
+            self.callers.use_context(context)
+        self.dispatcher.max_answer = self.settings.get("limits", "answer_bytes")
+        if ("log", "level") in changed:
+            set_log_level(changed["log", "level"])
+        for (section, key), value in changed.items():
+            log_event("setting_changed", section=section, key=key, value=value)
+
     async def stop(self):
         """Leave the address answer, end the work in flight and release the homes."""
         self.gossip.set_own_state(InstanceState.LEAVING)
@@ -235,6 +255,7 @@
     application = make_application(node.name)
     application.on_start(node.start)
     application.on_stop(node.stop)
+    application.on_reload(node.reload)
     return node, application
 
 
--- a/kumquatsaddle/settings/files.py
+++ b/kumquatsaddle/settings/files.py
@@ -13,6 +13,11 @@
 # Sections of this form seed the embedded platform: [service:NAME] and so on.
 _SEED_KINDS = ("service", "template", "account", "backend")
 _SHORTEST_SECRET_BYTES = 16
+# Keys of [tls] of which all or none are given.
+_TOGETHER = (
+    ("certificate_file", "key_file"),
+    ("control_certificate_file", "control_key_file", "control_ca_file"),
+)
 
 
 class Settings:
@@ -155,7 +160,9 @@
             "platform",
             "url",
         )
-    if bool(values["tls", "certificate_file"]) != bool(values["tls", "key_file"]):
-        raise SettingsError(
-            "certificate_file and key_file go together", file, "tls", "key_file"
-        )
+    for group in _TOGETHER:
+        given = [key for key in group if values["tls", key]]
+        missing = [key for key in group if not values["tls", key]]
+        if given and missing:
+            problem = f"{', '.join(group)} go together"
+            raise SettingsError(problem, file, "tls", missing[0])
--- a/kumquatsaddle/types.py
+++ b/kumquatsaddle/types.py
@@ -66,6 +66,7 @@
     BODY_TOO_LARGE = "body_too_large"
     REQUEST_TIMEOUT = "request_timeout"
     TOO_MANY_CONNECTIONS = "too_many_connections"
+    BODIES_TOO_LARGE = "bodies_too_large"
     UNAUTHORIZED = "unauthorized"
     UNKNOWN_ACCOUNT = "unknown_account"
     UNKNOWN_ROUTE = "unknown_route"
