Add the client library, the load tool and the report tool

Operators had no way to send a measured load, and the protocol of a caller was only in the demonstration.

kumquatsaddle/caller asks for addresses, keeps them for their time to live and repeats a request without an answer under its operation id; a refusal of such a repeat leaves the outcome unknown. kumquatsaddle-load sends Poisson arrivals and counts by rank; kumquatsaddle-report compares two saved runs.

--- /dev/null
+++ b/kumquatsaddle/caller/__init__.py
@@ -0,0 +1,22 @@
+"""A small client of the fleet.
+
+Examples
+--------
+>>> from kumquatsaddle.caller import make_caller
+>>> from kumquatsaddle.settings import Address
+>>> caller = make_caller([Address("127.0.0.1", 8000)], "order", "shop-1")
+>>> # result = await caller.send("POST", "/order", b"two chairs")
+"""
+
+from kumquatsaddle.caller.addresses import AddressBook, FleetUnreachableError
+from kumquatsaddle.caller.calls import Caller, CallResult, make_caller
+from kumquatsaddle.caller.connections import ConnectionPool
+
+__all__ = [
+    "AddressBook",
+    "Caller",
+    "CallResult",
+    "ConnectionPool",
+    "FleetUnreachableError",
+    "make_caller",
+]
--- /dev/null
+++ b/kumquatsaddle/commands/tests/report.feature
@@ -0,0 +1,15 @@
+Feature: The report tool
+
+  Scenario: Two saved runs are compared
+    # Guards against a comparison of the wrong figures.
+    Then a saved run reads back with the same figures
+    And the report shows both runs and their ratio as text and JSON
+
+  Scenario: Pictures are drawn on request only
+    # Guards against a tool that needs matplotlib for text.
+    Then a PNG and an SVG picture are written and another ending is refused
+    And the text report does not import matplotlib
+
+  Scenario: A broken file is named
+    # Guards against a traceback or a wrong figure from a damaged file.
+    Then any mutation of a saved run is read or refused with its name
