--- a/benchmarks/request_path.py
+++ b/benchmarks/request_path.py
@@ -44,7 +44,7 @@
 _STOP_TIMEOUT = 15.0
 _HANG = 2.0
 _MAX_BODY = 1 << 20
-_PROFILED = ("callers.py", "proxy.py", "connections.py")
+_PROFILED = ("callers.py", "caller_connections.py", "proxy.py", "connections.py")
 _CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
 _SETTINGS = f"""\
 [instance]
