Look for the keep-alive fault of hypercorn in more variants

The benchmark sends pipelined pairs and follow-up requests against answers that are immediate, slow or ended late; a test covers SIGHUP.

--- a/benchmarks/library_roles.py
+++ b/benchmarks/library_roles.py
@@ -33,6 +33,10 @@
 BODY = b'{"answer": "small"}'
 _MAX_BODY = 1 << 20
 _LONGEST_RUN = 120.0
+# Time in seconds before an answer, by path.
+_WORK = {"/slow": 0.003}
+# Time in seconds between the last byte of a body and its end, by path.
+_SPLIT_PAUSES = {"/split": 0.0, "/split-1ms": 0.001, "/split-20ms": 0.02}
 
 
 async def send_open_loop(send, rate, seconds, seed=1):
@@ -78,14 +82,22 @@
         return
     while (await receive()).get("more_body"):
         pass
+    await trio.sleep(_WORK.get(scope["path"], 0.0))
     headers = [(b"content-type", b"application/json")]
     headers.append((b"content-length", str(len(BODY)).encode()))
     await send({"type": "http.response.start", "status": 200, "headers": headers})
-    await send({"type": "http.response.body", "body": BODY})
+    if not scope["path"].startswith("/split"):
+        await send({"type": "http.response.body", "body": BODY})
+        return
+    # The body is complete by its length before the application has ended it.
+    await send({"type": "http.response.body", "body": BODY, "more_body": True})
+    await trio.sleep(_SPLIT_PAUSES[scope["path"]])
+    await send({"type": "http.response.body", "body": b"", "more_body": False})
 
 
 class _TrivialProxy:
     async def answer(self, request):
+        await trio.sleep(_WORK.get(request.target, 0.0))
         headers = ((b"Content-Type", b"application/json"),)
         return Answer(Outcome.DONE, 200, headers, BODY)
 
--- a/benchmarks/request_path.py
+++ b/benchmarks/request_path.py
@@ -21,12 +21,12 @@
 import subprocess
 import sys
 import tempfile
-import time
 from pathlib import Path
 
 import trio
 from docopt import docopt
 
+from benchmarks.keep_alive import measure_follow_ups, measure_pipelining
 from benchmarks.library_roles import send_open_loop
 from kumquatsaddle.dispatch.connections import ExchangeError, open_connection
 from kumquatsaddle.settings.parsers import Address
@@ -39,10 +39,8 @@
 _TRIVIAL = Address(f"{_HOST}.3", 8000)
 _ROUNDS = 2
 _CLOSED_LOOP_CALLERS = 8
-_PIPELINE_ROUNDS = 200
 _START_TIMEOUT = 15.0
 _STOP_TIMEOUT = 15.0
-_HANG = 2.0
 _MAX_BODY = 1 << 20
 _PROFILED = ("callers.py", "caller_connections.py", "proxy.py", "connections.py")
 _CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
@@ -278,49 +276,24 @@
     return figures
 
 
-async def _pipeline(pause):
-    """Send two requests on a connection; return the number of responses."""
-    post = b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbody"
-    stream = await trio.open_tcp_stream(_TRIVIAL.host, _TRIVIAL.port)
-    received = b""
-    async with stream:
-        await stream.send_all(post)
-        if pause is not None:
-            await trio.sleep(pause)
-        await stream.send_all(post)
-        with trio.move_on_after(_HANG):
-            while received.count(b'{"answer": "small"}') < 2:
-                data = await stream.receive_some(65536)
-                if not data:
-                    break
-                received += data
-    return received.count(b'{"answer": "small"}')
-
-
-async def _measure_pipelining():
-    await _wait_for(_TRIVIAL)
-    incomplete = {}
-    for pause in (None, 0.0, 0.0002, 0.0005, 0.001):
-        bad, hung_since = 0, time.monotonic()
-        for _ in range(_PIPELINE_ROUNDS):
-            bad += await _pipeline(pause) < 2
-            if time.monotonic() - hung_since > 10:
-                break
-        label = "no pause" if pause is None else f"pause {pause * 1000:g} ms"
-        incomplete[label] = bad
-    return incomplete
-
-
 def _reproduce_fault():
-    """Count connections without both responses when requests follow at once."""
+    """Count connections that end without all responses when requests follow at once."""
     figures = {}
-    for name in ("hypercorn", "callers"):
+    paths = {"hypercorn": ("/whole", "/split", "/split-1ms", "/split-20ms")}
+    paths["callers"] = ("/whole",)
+    for name in paths:
         with tempfile.TemporaryFile() as errors:
             with _serve(name, errors):
-                incomplete = trio.run(_measure_pipelining)
+                trio.run(_wait_for, _TRIVIAL)
+                incomplete = trio.run(measure_pipelining, _TRIVIAL)
+                cut = trio.run(measure_follow_ups, _TRIVIAL, paths[name])
             errors.seek(0)
             busy = errors.read().count(b"BusyResourceError")
-        figures[name] = {"incomplete": incomplete, "BusyResourceError": busy}
+        figures[name] = {
+            "pipelined pairs incomplete, of 200": incomplete,
+            "follow-up connections cut, of 3": cut,
+            "BusyResourceError": busy,
+        }
     return figures
 
 
--- a/kumquatsaddle/entry/tests/steps/stopping.py
+++ b/kumquatsaddle/entry/tests/steps/stopping.py
@@ -13,6 +13,8 @@
     make_control_server_context,
 )
 from kumquatsaddle.exceptions import SettingsError
+from kumquatsaddle.lifecycle.node import make_node
+from kumquatsaddle.settings.files import load_settings
 from kumquatsaddle.settings.parsers import Address
 from kumquatsaddle.testing.callers import (
     EchoProxy,
@@ -21,6 +23,22 @@
     read_responses,
 )
 
+NODE_SETTINGS = """\
+[instance]
+id = one
+zone = a
+[listen]
+callers = 127.0.0.1:1
+control = 127.0.0.1:2
+operators = 127.0.0.1:3
+[platform]
+kind = memory
+[limits]
+answer_bytes = 1000
+[tls]
+certificate_file = {certificate}
+key_file = {key}
+"""
 REQUEST = b"GET /stop HTTP/1.1\r\nHost: x\r\n\r\n"
 NOTICE = 3.0
 GRACE = 60.0
@@ -217,6 +235,30 @@
             assert b"HTTP" not in run_on_clock(call)
 
 
+@then("SIGHUP applies live settings and refuses a file that changes others")
+def check_hangup(context):
+    with tempfile.TemporaryDirectory() as folder:
+        file = Path(folder) / "node.ini"
+        certificate, key = write_certificate(Path(folder), trustme.CA())
+        text = NODE_SETTINGS.format(certificate=certificate, key=key)
+        file.write_text(text)
+        node, _ = make_node(load_settings(file))
+        file.write_text(text.replace("answer_bytes = 1000", "answer_bytes = 2000"))
+        node.reload()
+        assert node.settings.get("limits", "answer_bytes") == 2000
+        assert node.dispatcher.max_answer == 2000
+        assert b'key="answer_bytes",section="limits"} 2000' in (
+            node.metrics.render_text()
+        )
+        file.write_text(text.replace("zone = a", "zone = b"))
+        node.reload()
+        file.write_text(text)
+        Path(key).write_text("no key")
+        node.reload()
+        assert node.metrics.counts["reloads_refused", ()] == 2
+        assert node.settings.get("limits", "answer_bytes") == 2000
+
+
 def control_settings(folder, name, authority, trusted):
     certificate, key = write_certificate(folder, authority, name)
     ca_file = folder / f"{name}-ca.pem"
--- a/kumquatsaddle/entry/tests/stopping.feature
+++ b/kumquatsaddle/entry/tests/stopping.feature
@@ -15,6 +15,7 @@
     # Guards against a certificate that only a restart replaces.
     Then a caller that trusts the authority is answered over TLS
     And a new certificate is used after a reload and a broken one is refused
+    And SIGHUP applies live settings and refuses a file that changes others
     And a plain or silent caller of a TLS port is dropped in time
 
   Scenario: Instances verify each other
