--- a/kumquatsaddle/dispatch/peers.py
+++ b/kumquatsaddle/dispatch/peers.py
@@ -81,11 +81,25 @@
         fill(envelope, number)
         data = self._codec.seal(envelope)
         reply = link.waiting[number] = [event, None]
+        try:
+            await self._send_and_wait(address, link, data, event, timeout)
+        finally:
+            link.waiting.pop(number, None)
+        if reply[1] is None:
+            raise PeerError(True, "no reply")
+        return reply[1]
+
+    async def close(self):
+        """Close all links."""
+        for address, link in list(self._links.items()):
+            await self._drop(address, link)
+
+    async def _send_and_wait(self, address, link, data, event, timeout):
         with trio.move_on_after(timeout):
             try:
                 async with link.lock:
+                    # A frame is written whole, or the link is given up.
                     with trio.CancelScope(shield=True) as scope:
-                        # A frame is written whole or the link is given up.
                         scope.deadline = trio.current_time() + timeout
                         await write_frame(link.stream, data)
                     if scope.cancelled_caught:
@@ -94,15 +108,6 @@
                 await self._drop(address, link)
                 raise PeerError(True, error) from None
             await event.wait()
-        link.waiting.pop(number, None)
-        if reply[1] is None:
-            raise PeerError(True, "no reply")
-        return reply[1]
-
-    async def close(self):
-        """Close all links."""
-        for address, link in list(self._links.items()):
-            await self._drop(address, link)
 
     async def _open(self, address):
         lock = self._locks.setdefault(address, trio.Lock())
--- a/kumquatsaddle/entry/control.py
+++ b/kumquatsaddle/entry/control.py
@@ -134,7 +134,12 @@
     node = server.node
     body = envelope.forward
     delay = server.measure_delay(envelope)
-    request = _read_request(body, trio.current_time(), delay)
+    try:
+        request = _read_request(body, trio.current_time(), delay)
+    except MessageError as error:
+        # Only this message is dropped; other requests use the link too.
+        node.metrics.count("messages_rejected", reason=str(error))
+        return
     server.in_flight += 1
     server.last_request = trio.current_time()
     try:
--- a/kumquatsaddle/lifecycle/node.py
+++ b/kumquatsaddle/lifecycle/node.py
@@ -24,12 +24,13 @@
 from kumquatsaddle.entry.callers import make_caller_server
 from kumquatsaddle.entry.control import make_control_server
 from kumquatsaddle.entry.proxy import make_proxy
-from kumquatsaddle.exceptions import ConfigurationError, PlatformError
+from kumquatsaddle.entry.tls import make_caller_context
+from kumquatsaddle.exceptions import ConfigurationError, PlatformError, SettingsError
 from kumquatsaddle.health.newcomers import Newcomers
 from kumquatsaddle.health.probes import watch_pools
 from kumquatsaddle.lifecycle.application import make_application
 from kumquatsaddle.lifecycle.pauses import make_pause_watch
-from kumquatsaddle.logs import log_event
+from kumquatsaddle.logs import log_event, set_log_level
 from kumquatsaddle.membership.gossip import make_gossip
 from kumquatsaddle.membership.members import Member, make_table
 from kumquatsaddle.messages.codec import make_codec
@@ -39,6 +40,7 @@
 from kumquatsaddle.operations.ledger import make_ledger
 from kumquatsaddle.platform.interface import make_platform
 from kumquatsaddle.settings.files import read_secret
+from kumquatsaddle.settings.reload import reload_settings
 from kumquatsaddle.types import BackendId, InstanceState
 
 __all__ = ["Node", "make_node"]
@@ -72,6 +74,7 @@
         self.settings = settings
         self.platform = platform or make_platform(settings)
         self.metrics = make_metrics()
+        self.metrics.set_limits(settings)
         self.configuration = make_configuration()
         self.incarnation = make_incarnation()
         self.issuer = make_issuer(self.incarnation)
@@ -98,6 +101,7 @@
         self.digests = make_digests()
         self.pauses = make_pause_watch()
         self.links = None
+        self.callers = None
         self._nursery = None
         self.backends = []
         self.newcomers = Newcomers()
@@ -256,6 +260,24 @@
         nursery.start_soon(self._watch_placement)
         nursery.start_soon(watch_pools, self.dispatcher.pools)
 
+    def reload(self):
+        """Apply the changed settings file and certificate, or report what is wrong."""
+        try:
+            context = make_caller_context(self.settings)
+            changed = reload_settings(self.settings)
+        except SettingsError as error:
+            self.metrics.count("reloads_refused")
+            log_event("reload_refused", level="ERROR", error=error)
+            return
+        if self.callers is not None:
+            self.callers.use_context(context)
+        self.metrics.set_limits(self.settings)
+        self.dispatcher.max_answer = self.settings.get("limits", "answer_bytes")
+        if ("log", "level") in changed:
+            set_log_level(changed["log", "level"])
+        for (section, key), value in changed.items():
+            log_event("setting_changed", section=section, key=key, value=value)
+
     async def stop(self):
         """Leave the address answer, end the work in flight and release the homes."""
         self.gossip.set_own_state(InstanceState.LEAVING)
@@ -286,6 +308,7 @@
     application = make_application(node.name)
     application.on_start(node.start)
     application.on_stop(node.stop)
+    application.on_reload(node.reload)
     return node, application
 
 
