--- a/kumquatsaddle/configuration/__init__.py
+++ b/kumquatsaddle/configuration/__init__.py
@@ -6,8 +6,15 @@
     read_changes,
     seed_changes,
 )
+from kumquatsaddle.configuration.commits import (
+    Edit,
+    commit_edit,
+    read_history,
+    withdraw_edit,
+)
 from kumquatsaddle.configuration.entities import (
     Account,
+    Drain,
     Limit,
     Route,
     Service,
@@ -19,19 +26,26 @@
     ResolvedRoute,
     make_configuration,
 )
+from kumquatsaddle.configuration.values import dump_entity
 
 __all__ = [
     "Account",
     "Change",
     "Configuration",
+    "Drain",
+    "Edit",
     "Limit",
     "ResolvedRoute",
     "Route",
     "Service",
     "Template",
     "commit_change",
+    "commit_edit",
+    "dump_entity",
     "make_configuration",
     "parse_entity",
     "read_changes",
+    "read_history",
     "seed_changes",
+    "withdraw_edit",
 ]
--- /dev/null
+++ b/kumquatsaddle/configuration/api.py
@@ -0,0 +1,380 @@
+"""The operators' API on the configuration, independent of the HTTP server.
+
+Each endpoint is a function registered with its method and path; ``*`` in a path
+stands for one segment. Errors name the field and carry one of the outcomes
+``invalid``, ``conflict``, ``not-written`` and ``unknown``.
+"""
+
+import json
+from dataclasses import asdict, dataclass, field
+
+import trio
+
+from kumquatsaddle.configuration.changes import check_change_id
+from kumquatsaddle.configuration.commits import (
+    Edit,
+    check_edit,
+    commit_edit,
+    read_history,
+    withdraw_edit,
+)
+from kumquatsaddle.configuration.values import dump_entity
+from kumquatsaddle.dispatch.peers import PeerError
+from kumquatsaddle.exceptions import (
+    ChangeUnknownError,
+    ConfigurationError,
+    ConflictError,
+    PlatformError,
+)
+
+__all__ = ["ApiRequest", "ApiReply", "answer_api", "diff_values"]
+
+KIND_OF_PATH = {
+    "services": "service",
+    "templates": "template",
+    "accounts": "account",
+    "drains": "drain",
+}
+_DEFAULT_LISTED = 100
+_MOST_LISTED = 1000
+_MOST_VALIDATED = 1000
+# A version heard longer ago than this many seconds is asked for again.
+_FRESH_VERSION = 5.0
+_ASKED_AT_A_TIME = 20
+_DRAIN_ATTEMPTS = 5
+# Above every version, so that a peer answers with its version only.
+_NO_CHANGES_AFTER = 1 << 62
+_ENDPOINTS = []
+
+
+@dataclass(frozen=True, slots=True)
+class ApiRequest:
+    """A request below ``/api/v1``.
+
+    Parameters
+    ----------
+    method : str
+    segments : tuple of str
+        Path below ``/api/v1``.
+    query, headers : dict of str to str
+        Names of headers are in lower case.
+    body : bytes
+    """
+
+    method: str
+    segments: tuple[str, ...]
+    query: dict[str, str] = field(default_factory=dict)
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytes = b""
+
+
+@dataclass(frozen=True, slots=True)
+class ApiReply:
+    """Status and JSON value of a reply."""
+
+    status: int
+    value: dict
+
+
+def _endpoint(method, *pattern):
+    def decorate(function):
+        _ENDPOINTS.append((method, pattern, function))
+        return function
+
+    return decorate
+
+
+async def answer_api(distribution, request):
+    """Answer a request; errors become replies.
+
+    Parameters
+    ----------
+    distribution : Distribution
+    request : ApiRequest
+
+    Returns
+    -------
+    ApiReply
+    """
+    try:
+        return await _dispatch(distribution, request)
+    except ConfigurationError as error:
+        return _refuse(400, "invalid", error.problem, error.field)
+    except ConflictError as error:
+        return _refuse(409, "conflict", str(error))
+    except ChangeUnknownError as error:
+        return _refuse(504, "unknown", str(error))
+    except PlatformError as error:
+        return _refuse(503, "not-written", str(error))
+
+
+def diff_values(old, new, place=""):
+    """Return the fields in which two JSON values differ.
+
+    Parameters
+    ----------
+    old, new : object
+        JSON values; None for an entity that is absent.
+    place : str
+        Name of the field that holds them.
+
+    Returns
+    -------
+    list of dict
+        ``field``, ``old`` and ``new`` of each difference.
+    """
+    if isinstance(old, dict) and isinstance(new, dict):
+        found = []
+        for key in sorted({*old, *new}):
+            inner = f"{place}.{key}" if place else key
+            found += diff_values(old.get(key), new.get(key), inner)
+        return found
+    if old == new:
+        return []
+    return [{"field": place, "old": old, "new": new}]
+
+
+async def _dispatch(distribution, request):
+    allowed = set()
+    for method, pattern, function in _ENDPOINTS:
+        if _matches(pattern, request.segments):
+            if method == request.method:
+                return await function(distribution, request, *request.segments)
+            allowed.add(method)
+    if allowed:
+        listed = ", ".join(sorted(allowed))
+        return _refuse(405, "invalid", f"allowed: {listed}", "method")
+    return _refuse(404, "invalid", "no such resource", "path")
+
+
+def _matches(pattern, segments):
+    if len(pattern) != len(segments):
+        return False
+    for want, got in zip(pattern, segments, strict=True):
+        if want == "KIND" and got not in KIND_OF_PATH:
+            return False
+        if want not in ("*", "KIND", got):
+            return False
+    return True
+
+
+@_endpoint("GET", "KIND")
+async def _list_entities(distribution, request, path):
+    entities = distribution.configuration.entities(KIND_OF_PATH[path])
+    prefix, after = request.query.get("prefix", ""), request.query.get("after", "")
+    limit = _whole(request.query, "limit", _DEFAULT_LISTED, _MOST_LISTED)
+    names = sorted(n for n in entities if n.startswith(prefix) and n > after)
+    listed = [{"name": n, "version": entities[n].version} for n in names[:limit]]
+    more = names[limit - 1] if len(names) > limit else None
+    value = {"version": distribution.version, "entities": listed, "next": more}
+    return ApiReply(200, value)
+
+
+@_endpoint("GET", "KIND", "*")
+async def _get_entity(distribution, request, path, name):
+    kind, configuration = KIND_OF_PATH[path], distribution.configuration
+    entity = configuration.entities(kind).get(name)
+    version = configuration.version_of(kind, name)
+    value = {"kind": kind, "name": name, "version": version}
+    if entity is None:
+        return ApiReply(404, {**value, "error": "does not exist", "field": path})
+    return ApiReply(200, {**value, "value": dump_entity(entity)})
+
+
+@_endpoint("PUT", "KIND", "*")
+async def _put_entity(distribution, request, path, name):
+    value = _read_json(request.body)
+    if not isinstance(value, dict):
+        raise ConfigurationError("is not an object", f"{path}/{name}")
+    return await _commit(distribution, request, KIND_OF_PATH[path], name, value)
+
+
+@_endpoint("DELETE", "KIND", "*")
+async def _delete_entity(distribution, request, path, name):
+    return await _commit(distribution, request, KIND_OF_PATH[path], name, None)
+
+
+@_endpoint("GET", "KIND", "*", "history")
+async def _get_history(distribution, request, path, name, _):
+    limit = _whole(request.query, "limit", 20, _DEFAULT_LISTED)
+    changes = await read_history(distribution, KIND_OF_PATH[path], name, limit)
+    return ApiReply(200, {"changes": [asdict(change) for change in changes]})
+
+
+@_endpoint("GET", "KIND", "*", "diff")
+async def _get_diff(distribution, request, path, name, _):
+    changes = await read_history(
+        distribution, KIND_OF_PATH[path], name, _DEFAULT_LISTED
+    )
+    newest = distribution.version
+    old = _value_at(changes, _whole(request.query, "from", 0, newest, 0))
+    new = _value_at(changes, _whole(request.query, "to", newest, newest, 0))
+    return ApiReply(200, {"differences": diff_values(old, new)})
+
+
+@_endpoint("POST", "validate")
+async def _validate(distribution, request, _):
+    body = _read_json(request.body)
+    entries = body.get("entities", [body]) if isinstance(body, dict) else None
+    if not isinstance(entries, list) or len(entries) > _MOST_VALIDATED:
+        raise ConfigurationError("is not a list", "entities")
+    copy = distribution.configuration.copy()
+    for index, entry in enumerate(entries):
+        if not isinstance(entry, dict):
+            raise ConfigurationError("is not an object", f"entities[{index}]")
+        kind, name, value = (entry.get(key) for key in ("kind", "name", "value"))
+        if not isinstance(name, str):
+            raise ConfigurationError("is missing", f"entities[{index}].name")
+        expected = copy.version_of(kind, name)
+        check_edit(copy, Edit(kind, name, value, expected))
+        copy.put(kind, name, value, copy.version + 1)
+    return ApiReply(200, {"valid": len(entries)})
+
+
+@_endpoint("POST", "withdraw")
+async def _withdraw(distribution, request, _):
+    body = _read_json(request.body)
+    if not isinstance(body, dict):
+        raise ConfigurationError("is not an object", "body")
+    kind, name, change_id = (body.get(key) for key in ("kind", "name", "change_id"))
+    if not change_id:
+        raise ConfigurationError("is missing", "change_id")
+    check_change_id(change_id)
+    if not isinstance(name, str):
+        raise ConfigurationError("is missing", "name")
+    distribution.configuration.entities(kind)
+    operator = request.headers.get("kumquatsaddle-operator", "")
+    change = await withdraw_edit(distribution, kind, name, change_id, operator)
+    if change is None:
+        return ApiReply(200, {"outcome": "not-written", "change_id": change_id})
+    return _accepted(change)
+
+
+@_endpoint("GET", "versions")
+async def _get_versions(distribution, request, _):
+    now = trio.current_time()
+    entries = {}
+    limiter = trio.CapacityLimiter(_ASKED_AT_A_TIME)
+
+    async def ask(address, name):
+        async with limiter:
+            try:
+                reply = await distribution.transport.fetch(
+                    address, _NO_CHANGES_AFTER, False
+                )
+                entries[name] = {"version": reply.version, "age": 0.0}
+            except PeerError as error:
+                entries.setdefault(name, {})["error"] = str(error)
+
+    async with trio.open_nursery() as nursery:
+        for name, address in distribution.transport.live_members().items():
+            version, heard_at = distribution.heard.get(name, (None, 0.0))
+            if version is not None:
+                age = now - heard_at
+                entries[name] = {"version": version, "age": round(age, 3)}
+            if version is None or age > _FRESH_VERSION:
+                nursery.start_soon(ask, address, name)
+    own = {"version": distribution.version, "own": True, "age": 0.0}
+    return ApiReply(
+        200, {"version": distribution.version, "own": own, "peers": entries}
+    )
+
+
+@_endpoint("POST", "backends", "*", "drain")
+async def _drain(distribution, request, _, name, __):
+    reason = request.query.get("reason", "")
+    return await _set_drain(distribution, request, name, {"reason": reason})
+
+
+@_endpoint("POST", "backends", "*", "undrain")
+async def _undrain(distribution, request, _, name, __):
+    return await _set_drain(distribution, request, name, None)
+
+
+async def _set_drain(distribution, request, name, value):
+    """Drain or undrain, whatever the version of the entity is."""
+    for attempt in range(_DRAIN_ATTEMPTS):
+        configuration = distribution.configuration
+        if (name in configuration.drains) == (value is not None):
+            return ApiReply(200, {"outcome": "accepted", "changed": False})
+        expected = configuration.version_of("drain", name)
+        edit = _make_edit(request, "drain", name, value, expected)
+        try:
+            return _accepted(await commit_edit(distribution, edit))
+        except ConflictError:
+            if attempt + 1 == _DRAIN_ATTEMPTS:
+                raise
+    raise ConflictError(f"drains/{name} changes all the time")
+
+
+async def _commit(distribution, request, kind, name, value):
+    expected = _expected_version(request.headers)
+    edit = _make_edit(request, kind, name, value, expected)
+    return _accepted(await commit_edit(distribution, edit))
+
+
+def _make_edit(request, kind, name, value, expected):
+    headers = request.headers
+    return Edit(
+        kind,
+        name,
+        value,
+        expected,
+        headers.get("kumquatsaddle-change-id", ""),
+        headers.get("kumquatsaddle-operator", "")[:100],
+        headers.get("kumquatsaddle-repeated", "") == "1",
+    )
+
+
+def _expected_version(headers):
+    if headers.get("if-none-match", "").strip() == "*":
+        return None
+    text = headers.get("if-match", "").strip().strip('"')
+    if not (text.isascii() and text.isdigit() and len(text) < 12):
+        raise ConfigurationError(
+            "the version of the entity is needed, or If-None-Match: * for a new one",
+            "If-Match",
+        )
+    return int(text)
+
+
+def _accepted(change):
+    return ApiReply(
+        200,
+        {
+            "outcome": "accepted",
+            "version": change.version,
+            "change_id": change.change_id,
+            "changed": True,
+        },
+    )
+
+
+def _refuse(status, outcome, error, place=None):
+    return ApiReply(status, {"outcome": outcome, "error": error, "field": place})
+
+
+def _value_at(changes, version):
+    """Return the value of the newest change of an entity up to a version."""
+    for change in changes:
+        if change.version <= version:
+            return change.value
+    return None
+
+
+def _whole(query, key, default, highest, lowest=1):
+    text = query.get(key)
+    if text is None:
+        return default
+    if not (text.isascii() and text.isdigit() and len(text) < 12):
+        raise ConfigurationError(f"{text[:40]!r} is not a whole number", key)
+    if not lowest <= int(text) <= highest:
+        raise ConfigurationError(f"{text} is outside {lowest} to {highest}", key)
+    return int(text)
+
+
+def _read_json(body):
+    try:
+        return json.loads(body)
+    except (ValueError, RecursionError):
+        raise ConfigurationError("is not JSON", "body") from None
--- a/kumquatsaddle/configuration/changes.py
+++ b/kumquatsaddle/configuration/changes.py
@@ -3,25 +3,53 @@
 Row ``config/changes/<version>`` is written put-if-absent; that write is the commit
 point. Of two operators that write the same version one gets a conflict. When the
 reply is lost, the row is read and its change id tells whether the write succeeded.
+
+A write without a reply may still take effect after the row was read as absent. So the
+same change is written again under the same version: whichever of the two writes
+arrives first, the change has that version and no other, and the second one finds the
+row taken. `withdraw_change` occupies the version with an empty change instead, after
+which the late write can no longer take effect.
 """
 
 import json
+import re
 import secrets
-from dataclasses import asdict, dataclass
+from dataclasses import asdict, dataclass, fields
+
+import trio
 
 from kumquatsaddle.configuration.entities import parse_entity
+from kumquatsaddle.configuration.state import NO_CHANGE
 from kumquatsaddle.exceptions import (
+    ChangeUnknownError,
     ConfigurationError,
     ConflictError,
     PlatformUnavailableError,
 )
 from kumquatsaddle.types import ConfigVersion
 
-__all__ = ["Change", "change_key", "commit_change", "read_changes", "seed_changes"]
+__all__ = [
+    "Change",
+    "change_key",
+    "commit_change",
+    "make_change_id",
+    "parse_change",
+    "read_change",
+    "read_changes",
+    "seed_changes",
+    "withdraw_change",
+]
 
 _PREFIX = "config/changes/"
 # Digits of a version in its key; keys sort in the order of versions.
 _VERSION_DIGITS = 10
+# Pauses in seconds before the second and later attempts of a write without a reply.
+_PAUSES = (0.05, 0.3, 1.0)
+_PAGE_ROWS = 500
+# Text of a settings file that stands for itself without quotes.
+_WORD = re.compile(r"[A-Za-z_][A-Za-z0-9_.-]*\Z")
+_LONGEST_CHANGE_ID = 64
+_MOST_VERSIONS = 10**_VERSION_DIGITS
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,7 +62,8 @@
         Version that is in force once the change is applied.
     change_id : str
         Random id of the attempt to write it.
-    kind : {"service", "template", "account"}
+    kind : {"service", "template", "account", "drain", "none"}
+        ``none`` only occupies the version.
     name : str
     value : dict or None
         JSON value of the entity; None deletes it.
@@ -42,6 +71,8 @@
         Who made the change.
     time : float
         Seconds since the epoch.
+    previous : int
+        Version of the change of the same entity before this one; 0 if none is known.
     """
 
     version: ConfigVersion
@@ -51,6 +82,12 @@
     value: dict | None
     operator: str = ""
     time: float = 0.0
+    previous: int = 0
+
+
+def make_change_id():
+    """Return a random change id."""
+    return secrets.token_hex(8)
 
 
 def change_key(version):
@@ -59,7 +96,16 @@
 
 
 async def commit_change(
-    platform, base_version, kind, name, value, *, operator="", time=0.0
+    platform,
+    base_version,
+    kind,
+    name,
+    value,
+    *,
+    operator="",
+    time=0.0,
+    change_id=None,
+    previous=0,
 ):
     """Write the change that follows `base_version`.
 
@@ -73,6 +119,10 @@
     operator : str
     time : float
         Seconds since the epoch.
+    change_id : str, optional
+        Id of the attempt; a repeated attempt has the same one. Default: random.
+    previous : int, default=0
+        Version of the change of the same entity before this one.
 
     Returns
     -------
@@ -84,48 +134,116 @@
         If the value is invalid; nothing was written.
     ConflictError
         If another change took the version; nothing was written.
-    PlatformUnavailableError
-        If neither the write nor the read that would settle it was answered.
+    ChangeUnknownError
+        If the platform did not answer; the change may be written, and asking again
+        with the same version and id tells.
     """
-    if value is None:
-        parse_entity(kind, name, {"template": "-"} if kind == "account" else {})
-    else:
+    check_change_id(change_id)
+    if value is not None:
         parse_entity(kind, name, value)
+    else:
+        parse_entity(kind, name, {"template": "-"} if kind == "account" else {})
     change = Change(
         ConfigVersion(base_version + 1),
-        secrets.token_hex(8),
+        change_id or make_change_id(),
         kind,
         name,
         value,
         operator,
         time,
+        previous,
     )
-    key = change_key(change.version)
+    return await _write_change(platform, change)
+
+
+async def withdraw_change(platform, base_version, change_id, *, operator="", time=0.0):
+    """Make sure that an attempt without an answer never takes effect later.
+
+    Parameters
+    ----------
+    platform : Platform
+    base_version : ConfigVersion
+        Version that the attempt was based on.
+    change_id : str
+        Id of the attempt.
+    operator : str
+    time : float
+        Seconds since the epoch.
+
+    Returns
+    -------
+    Change
+        The change that has the version; it is the attempt itself if that was
+        written.
+
+    Raises
+    ------
+    ChangeUnknownError
+        If the platform did not answer.
+    """
+    check_change_id(change_id)
+    version = ConfigVersion(base_version + 1)
+    empty = Change(version, f"not-{change_id}", NO_CHANGE, "", None, operator, time)
     try:
-        await platform.put_row(key, asdict(change), None)
-    except (ConflictError, PlatformUnavailableError) as error:
-        await _settle(platform, key, change, error)
-    return change
+        return await _write_change(platform, empty)
+    except ConflictError:
+        pass
+    try:
+        return await read_change(platform, version)
+    except PlatformUnavailableError as error:
+        raise ChangeUnknownError(str(error)) from None
+
 
+async def _write_change(platform, change):
+    """Write a change put-if-absent until it is known who has the version."""
+    for pause in (*_PAUSES, None):
+        try:
+            await platform.put_row(change_key(change.version), asdict(change), None)
+            return change
+        except (ConflictError, PlatformUnavailableError):
+            pass
+        try:
+            written = await read_change(platform, change.version)
+        except PlatformUnavailableError:
+            written = None
+        if written is not None:
+            if written.change_id == change.change_id:
+                return written
+            raise ConflictError(f"version {change.version} has another change")
+        if pause is not None:
+            await trio.sleep(pause)
+    raise ChangeUnknownError(
+        f"no answer about version {change.version}; ask again with change id "
+        f"{change.change_id}"
+    )
+
+
+async def read_change(platform, version):
+    """Return the change of a version, or None.
 
-async def _settle(platform, key, change, error):
-    """Return if the row at `key` is `change`, else raise `error`."""
-    row = await platform.read_row(key)
-    if row is None:
-        raise error
-    if row.value.get("change_id") != change.change_id:
-        raise ConflictError(f"version {change.version} was taken by another change")
+    Raises
+    ------
+    ConfigurationError
+        If the row is no change.
+    PlatformUnavailableError
+    """
+    row = await platform.read_row(change_key(version))
+    return None if row is None else parse_change(row.value)
 
 
 async def read_changes(platform, after):
     """Return the changes above version `after`, in order and without a gap."""
     changes = []
-    for row in await platform.list_rows(_PREFIX, change_key(after)):
-        change = parse_change(row.value)
-        if change.version != after + len(changes) + 1:
-            break
-        changes.append(change)
-    return changes
+    while True:
+        key = change_key(after + len(changes))
+        rows = await platform.list_rows(_PREFIX, key, _PAGE_ROWS)
+        for row in rows:
+            change = parse_change(row.value)
+            if change.version != after + len(changes) + 1:
+                return changes
+            changes.append(change)
+        if len(rows) < _PAGE_ROWS:
+            return changes
 
 
 def parse_change(value):
@@ -134,12 +252,46 @@
     Raises
     ------
     ConfigurationError
-        If a field is missing or unknown.
+        If a field is missing, unknown or of the wrong type.
     """
+    if not isinstance(value, dict):
+        raise ConfigurationError("is not an object", "change")
     try:
-        return Change(**value)
+        change = Change(**value)
     except TypeError as error:
         raise ConfigurationError(str(error), "change") from None
+    for field in fields(Change):
+        if not _is_valid(field.name, getattr(change, field.name)):
+            raise ConfigurationError("has the wrong type", f"change.{field.name}")
+    return change
+
+
+def check_change_id(change_id):
+    """Check the change id that a caller gives.
+
+    Raises
+    ------
+    ConfigurationError
+        If it is not None and no short printable text.
+    """
+    if change_id is None:
+        return
+    if not isinstance(change_id, str) or not 0 < len(change_id) <= _LONGEST_CHANGE_ID:
+        problem = f"is not a text of 1 to {_LONGEST_CHANGE_ID} characters"
+        raise ConfigurationError(problem, "change_id")
+    if not change_id.isprintable():
+        raise ConfigurationError("is not printable", "change_id")
+
+
+def _is_valid(name, value):
+    if name in ("version", "previous"):
+        whole = isinstance(value, int) and not isinstance(value, bool)
+        return whole and 0 <= value < _MOST_VERSIONS
+    if name == "value":
+        return value is None or isinstance(value, dict)
+    if name == "time":
+        return isinstance(value, int | float)
+    return isinstance(value, str)
 
 
 def seed_changes(seeds):
@@ -176,6 +328,6 @@
     try:
         return json.loads(text)
     except ValueError:
-        if text.isidentifier():
+        if _WORD.match(text):
             return text
         raise ConfigurationError(f"{text!r} is not JSON", place) from None
--- a/kumquatsaddle/configuration/state.py
+++ b/kumquatsaddle/configuration/state.py
@@ -10,7 +10,18 @@
 from kumquatsaddle.exceptions import ConfigurationError, RefusedError
 from kumquatsaddle.types import ConfigVersion, Rank, RefusalReason, ServiceName
 
-__all__ = ["Configuration", "ResolvedRoute", "make_configuration"]
+__all__ = ["Configuration", "NO_CHANGE", "ResolvedRoute", "make_configuration"]
+
+# Kind of a change that only occupies its version.
+NO_CHANGE = "none"
+_COLLECTIONS = {
+    "service": "services",
+    "template": "templates",
+    "account": "accounts",
+    "drain": "drains",
+}
+# Removed entities whose version is remembered, the latest ones.
+_MAX_REMOVED = 2000
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,13 +50,22 @@
 
 
 class Configuration:
-    """Services, templates and accounts at one version."""
+    """Services, templates, accounts and drains at one version.
+
+    Attributes
+    ----------
+    removed : dict of (str, str) to int
+        Kind and name of removed entities to the version that removed them, so that a
+        repeated attempt is recognised and an old version of an entity conflicts.
+    """
 
     def __init__(self):
         self.version = ConfigVersion(0)
         self.services = {}
         self.templates = {}
         self.accounts = {}
+        self.drains = {}
+        self.removed = {}
 
     def apply_change(self, change):
         """Apply the change that follows the version in force.
@@ -53,6 +73,7 @@
         Parameters
         ----------
         change : Change
+            One of kind ``none`` only occupies its version.
 
         Returns
         -------
@@ -71,14 +92,57 @@
             raise ConfigurationError(
                 f"version {change.version} does not follow {self.version}", "version"
             )
-        entities = self._entities(change.kind)
-        if change.value is None:
-            entities.pop(change.name, None)
-        else:
-            entities[change.name] = parse_entity(change.kind, change.name, change.value)
+        if change.kind != NO_CHANGE:
+            self._apply(change.kind, change.name, change.value, change.version)
         self.version = ConfigVersion(change.version)
         return True
 
+    def load(self, other):
+        """Take over another configuration if its version is higher.
+
+        Parameters
+        ----------
+        other : Configuration
+
+        Returns
+        -------
+        bool
+            Whether it was taken over.
+        """
+        if other.version <= self.version:
+            return False
+        for name in ("services", "templates", "accounts", "drains", "removed"):
+            setattr(self, name, dict(getattr(other, name)))
+        self.version = other.version
+        return True
+
+    def copy(self):
+        """Return a configuration of the same entities, which are immutable."""
+        other = Configuration()
+        other.load(self)
+        return other
+
+    def entities(self, kind):
+        """Return the entities of a kind, name to entity.
+
+        Raises
+        ------
+        ConfigurationError
+            If the kind is unknown.
+        """
+        if not isinstance(kind, str) or kind not in _COLLECTIONS:
+            raise ConfigurationError(f"unknown kind {kind!r}", "kind")
+        return getattr(self, _COLLECTIONS[kind])
+
+    def version_of(self, kind, name):
+        """Return the version that last changed an entity; 0 if none is known."""
+        entity = self.entities(kind).get(name)
+        return entity.version if entity else self.removed.get((kind, name), 0)
+
+    def put(self, kind, name, value, version):
+        """Add an entity of a snapshot."""
+        self._apply(kind, name, value, version)
+
     def resolve_route(self, account, method, path):
         """Return how a request is handled.
 
@@ -101,10 +165,8 @@
         template = self.templates.get(entry.template) if entry else None
         if template is None:
             raise RefusedError(RefusalReason.UNKNOWN_ACCOUNT, account)
-        for route in template.routes:
-            if path.startswith(route.prefix) and route.method in ("*", method):
-                break
-        else:
+        route = template.find_route(method, path)
+        if route is None:
             raise RefusedError(RefusalReason.UNKNOWN_ROUTE, path)
         service = self.services.get(route.service)
         if service is None or not _may_use(entry, route.service):
@@ -118,15 +180,18 @@
             floor=_pick(entry.floors, template.floors, service.name, 0.0),
         )
 
-    def _entities(self, kind):
-        try:
-            return {
-                "service": self.services,
-                "template": self.templates,
-                "account": self.accounts,
-            }[kind]
-        except KeyError:
-            raise ConfigurationError(f"unknown kind {kind!r}", "kind") from None
+    def _apply(self, kind, name, value, version):
+        entities = self.entities(kind)
+        if value is not None:
+            entity = parse_entity(kind, name, value, version)
+            entities[entity.name] = entity
+            self.removed.pop((kind, name), None)
+            return
+        entities.pop(name, None)
+        self.removed.pop((kind, name), None)
+        self.removed[kind, name] = version
+        while len(self.removed) > _MAX_REMOVED:
+            del self.removed[next(iter(self.removed))]
 
 
 def make_configuration():
--- /dev/null
+++ b/kumquatsaddle/configuration/values.py
@@ -0,0 +1,147 @@
+"""JSON values of entities and the checks across entities."""
+
+from kumquatsaddle.configuration.entities import Account, Drain, Service, Template
+from kumquatsaddle.exceptions import ConfigurationError
+
+__all__ = ["check_references", "check_unused", "dump_entity"]
+
+
+def dump_entity(entity):
+    """Return the JSON value of an entity; `parse_entity` is the inverse.
+
+    Parameters
+    ----------
+    entity : Service, Template, Account or Drain
+
+    Returns
+    -------
+    dict
+    """
+    if isinstance(entity, Service):
+        return _dump_service(entity)
+    if isinstance(entity, Template):
+        return _dump_template(entity)
+    if isinstance(entity, Account):
+        return _dump_account(entity)
+    return {"reason": entity.reason} if entity.reason else {}
+
+
+def check_references(configuration, entity):
+    """Check that everything an entity refers to exists.
+
+    Parameters
+    ----------
+    configuration : Configuration
+    entity : Service, Template, Account or Drain
+
+    Raises
+    ------
+    ConfigurationError
+        Names the field that refers to an unknown service or template.
+    """
+    if isinstance(entity, Service | Drain):
+        return
+    if isinstance(entity, Account):
+        place = f"accounts/{entity.name}"
+        if entity.template not in configuration.templates:
+            problem = f"there is no template {entity.template!r}"
+            raise ConfigurationError(problem, f"{place}.template")
+        names = [(f"{place}.services", name) for name in entity.services or ()]
+        names += [(f"{place}.ranks", name) for name in entity.ranks or ()]
+    else:
+        place = f"templates/{entity.name}"
+        names = [
+            (f"{place}.routes {route.method} {route.prefix}", route.service)
+            for route in entity.routes
+        ]
+    names += [(f"{place}.limits", name) for name in entity.limits or ()]
+    names += [(f"{place}.floors", name) for name in entity.floors or ()]
+    for field, name in names:
+        if name not in configuration.services:
+            raise ConfigurationError(f"there is no service {name!r}", field)
+
+
+def check_unused(configuration, kind, name):
+    """Check that no other entity refers to the one that goes.
+
+    Raises
+    ------
+    ConfigurationError
+        Names an entity that uses it.
+    """
+    if kind == "service":
+        users = _users_of_service(configuration, name)
+    elif kind == "template":
+        users = (
+            f"accounts/{account.name}"
+            for account in configuration.accounts.values()
+            if account.template == name
+        )
+    else:
+        return
+    user = next(iter(users), None)
+    if user is not None:
+        raise ConfigurationError(f"is in use by {user}", f"{kind}s/{name}")
+
+
+def _users_of_service(configuration, name):
+    for template in configuration.templates.values():
+        if any(route.service == name for route in template.routes):
+            yield f"templates/{template.name}"
+        elif name in template.limits or name in template.floors:
+            yield f"templates/{template.name}"
+    for account in configuration.accounts.values():
+        parts = (account.services, account.ranks, account.limits, account.floors)
+        if any(part and name in part for part in parts):
+            yield f"accounts/{account.name}"
+
+
+def _dump_service(service):
+    floors = {rank.name.lower(): part for rank, part in service.rank_floors.items()}
+    return {
+        "floor": service.floor,
+        "slots": service.slots,
+        "deadline": service.deadline,
+        "rank_floors": floors,
+    }
+
+
+def _dump_template(template):
+    routes = [
+        {
+            "method": route.method,
+            "prefix": route.prefix,
+            "service": route.service,
+            "rank": route.rank.name.lower(),
+            "idempotent": route.idempotent,
+        }
+        for route in template.routes
+    ]
+    value = {"routes": routes}
+    if template.limits:
+        value["limits"] = _dump_limits(template.limits)
+    if template.floors:
+        value["floors"] = dict(template.floors)
+    return value
+
+
+def _dump_account(account):
+    value = {"template": account.template}
+    if account.services is not None:
+        value["services"] = list(account.services)
+    if account.ranks:
+        value["ranks"] = {
+            name: rank.name.lower() for name, rank in account.ranks.items()
+        }
+    if account.limits:
+        value["limits"] = _dump_limits(account.limits)
+    if account.floors:
+        value["floors"] = dict(account.floors)
+    return value
+
+
+def _dump_limits(limits):
+    return {
+        name: {"rate": limit.rate, "burst": limit.burst}
+        for name, limit in limits.items()
+    }
--- a/kumquatsaddle/entry/control.py
+++ b/kumquatsaddle/entry/control.py
@@ -1,7 +1,8 @@
-"""The TCP server for other instances: forwarded requests, one task a connection."""
+"""The TCP server for other instances: forwarded requests and missing changes."""
 
 import trio
 
+from kumquatsaddle.configuration.transport import write_changes_reply
 from kumquatsaddle.dispatch.peers import read_headers, write_answer
 from kumquatsaddle.entry.proxy import make_proxy
 from kumquatsaddle.exceptions import MessageError
@@ -40,9 +41,14 @@
                     if data is None:
                         break
                     envelope = self._node.codec.open(data)
-                    if str(envelope.which()) != "forward":
+                    kind = str(envelope.which())
+                    if kind == "forward":
+                        nursery.start_soon(self._answer, envelope.forward, stream, lock)
+                    elif kind == "fetchChanges":
+                        body = envelope.fetchChanges
+                        nursery.start_soon(self._answer_fetch, body, stream, lock)
+                    else:
                         raise MessageError("unexpected")
-                    nursery.start_soon(self._answer, envelope.forward, stream, lock)
         except* MessageError as group:
             reason = str(group.exceptions[0])
             self._node.metrics.count("messages_rejected", reason=reason)
@@ -59,6 +65,14 @@
         async with lock:
             await write_frame(stream, self._node.codec.seal(envelope))
 
+    async def _answer_fetch(self, body, stream, lock):
+        distribution = self._node.distribution
+        reply = await distribution.answer_fetch(body.after, body.wantBackends)
+        envelope = self._node.codec.new_envelope(self._node.configuration.version)
+        write_changes_reply(envelope, body.number, reply)
+        async with lock:
+            await write_frame(stream, self._node.codec.seal(envelope))
+
 
 def make_control_server(node):
     """Return the server for the peers of a node."""
--- /dev/null
+++ b/kumquatsaddle/entry/operators.py
@@ -0,0 +1,243 @@
+"""The operators' API and pages, an ASGI application served by hypercorn.
+
+All but the health endpoints need the token of the settings: as bearer token, or, for
+pages in a browser, as the password of HTTP basic authentication.
+"""
+
+import base64
+import binascii
+import hmac
+import html
+import json
+from urllib.parse import parse_qsl, unquote
+
+import hypercorn.trio
+import trio
+from hypercorn.config import Config
+
+from kumquatsaddle.configuration.api import ApiRequest, answer_api
+from kumquatsaddle.entry.status import describe_status, explain_request
+from kumquatsaddle.exceptions import RefusedError, SettingsError
+from kumquatsaddle.settings.files import read_secret
+from kumquatsaddle.types import InstanceState
+
+__all__ = ["OperatorsServer", "make_operators_server"]
+
+# Longest request body in bytes; a template of 50 routes has about 6 KB.
+_MAX_BODY = 1 << 20
+_GRACEFUL_TIMEOUT = 1.0
+_KEEP_ALIVE_TIMEOUT = 30.0
+_API_PREFIX = "/api/v1/"
+_READY_STATES = (InstanceState.ALIVE, InstanceState.IMPAIRED)
+# Pages that a browser may open with basic authentication. None of them changes
+# anything, because a browser repeats such credentials on requests of other sites.
+_PAGES = ("/", "/status.json", "/metrics")
+_SECURITY_HEADERS = (
+    (b"cache-control", b"no-store"),
+    (b"x-content-type-options", b"nosniff"),
+    (b"content-security-policy", b"default-src 'none'; style-src 'unsafe-inline'"),
+)
+
+
+class OperatorsServer:
+    """Serves the operators of one instance.
+
+    Parameters
+    ----------
+    node : Node
+    """
+
+    def __init__(self, node):
+        self._node = node
+        file = node.settings.get("secrets", "operator_token_file")
+        self._token = None
+        if file:
+            self._token = read_secret(
+                node.settings, "secrets", "operator_token_file", file
+            )
+
+    async def run(self, address, task_status=trio.TASK_STATUS_IGNORED):
+        """Serve at `address` until cancelled.
+
+        Raises
+        ------
+        SettingsError
+            If the address cannot be used.
+        """
+        config = Config()
+        config.bind = [str(address)]
+        config.accesslog = config.errorlog = None
+        config.graceful_timeout = _GRACEFUL_TIMEOUT
+        config.keep_alive_timeout = _KEEP_ALIVE_TIMEOUT
+        config.include_server_header = False
+        try:
+            await hypercorn.trio.serve(
+                self.app, config, task_status=task_status, mode="asgi"
+            )
+        except OSError as error:
+            raise SettingsError(
+                f"{address}: {error.strerror}",
+                self._node.settings.file,
+                "listen",
+                "operators",
+            ) from None
+
+    async def app(self, scope, receive, send):
+        """Answer one ASGI connection."""
+        if scope["type"] == "lifespan":
+            await _answer_lifespan(receive, send)
+            return
+        if scope["type"] != "http":
+            return
+        body = await _read_body(receive)
+        if body is None:
+            reply = _json_reply(413, {"error": f"is above {_MAX_BODY} bytes"})
+        else:
+            reply = await self._answer(scope, body)
+        await _send(send, scope["method"], *reply)
+
+    async def _answer(self, scope, body):
+        path, method = scope["path"], scope["method"]
+        headers = {
+            name.decode("latin-1").lower(): value.decode("latin-1")
+            for name, value in scope["headers"]
+        }
+        if path in ("/healthz", "/readyz"):
+            return self._answer_health(path)
+        refusal = self._check_token(headers, path, method)
+        if refusal is not None:
+            return refusal
+        query = dict(parse_qsl(scope["query_string"].decode("latin-1")))
+        if path.startswith(_API_PREFIX):
+            raw = scope.get("raw_path") or path.encode()
+            raw = raw.decode("latin-1").partition("?")[0].removeprefix(_API_PREFIX)
+            segments = tuple(unquote(part) for part in raw.split("/"))
+            return await self._answer_api(method, segments, query, headers, body)
+        if method not in ("GET", "HEAD"):
+            return _json_reply(405, {"error": "allowed: GET", "field": "method"})
+        return self._answer_page(path)
+
+    def _answer_health(self, path):
+        state = self._node.table.own.state
+        ready = self._node.distribution.ready and state in _READY_STATES
+        status = 200 if path == "/healthz" or ready else 503
+        return _json_reply(status, {"state": state.value, "ready": ready})
+
+    def _answer_page(self, path):
+        if path == "/metrics":
+            content = self._node.metrics.render_text()
+            return 200, b"text/plain; version=0.0.4; charset=utf-8", content
+        if path == "/status.json":
+            return _json_reply(200, describe_status(self._node))
+        if path == "/":
+            page = _render_page(describe_status(self._node))
+            return 200, b"text/html; charset=utf-8", page.encode()
+        return _json_reply(404, {"error": "no such resource", "field": "path"})
+
+    async def _answer_api(self, method, segments, query, headers, body):
+        if not self._node.distribution.ready:
+            return _json_reply(503, {"outcome": "not-written", "error": "not ready"})
+        if segments == ("explain",) and method == "GET":
+            try:
+                return _json_reply(200, explain_request(self._node, query))
+            except RefusedError as error:
+                value = {"error": str(error), "reason": error.reason.value}
+                return _json_reply(404, value)
+        request = ApiRequest(method, segments, query, headers, body)
+        reply = await answer_api(self._node.distribution, request)
+        return _json_reply(reply.status, reply.value)
+
+    def _check_token(self, headers, path, method):
+        """Return a refusal, or None if the request may pass."""
+        if self._token is None:
+            value = {"error": "no operator_token_file in the settings"}
+            return _json_reply(403, value)
+        given = _read_token(headers, path in _PAGES and method in ("GET", "HEAD"))
+        if given is not None and hmac.compare_digest(given, self._token):
+            return None
+        self._node.metrics.count("operator_requests_unauthorized")
+        return _json_reply(401, {"error": "the token is missing or wrong"})
+
+
+def make_operators_server(node):
+    """Return the operators' server of a node; see `OperatorsServer`."""
+    return OperatorsServer(node)
+
+
+def _read_token(headers, basic_allowed):
+    scheme, _, value = headers.get("authorization", "").partition(" ")
+    if scheme.lower() == "bearer":
+        return value.strip().encode("latin-1")
+    if scheme.lower() != "basic" or not basic_allowed:
+        return None
+    try:
+        return base64.b64decode(value, validate=True).partition(b":")[2]
+    except (binascii.Error, ValueError):
+        return None
+
+
+async def _answer_lifespan(receive, send):
+    while True:
+        message = await receive()
+        await send({"type": f"{message['type']}.complete"})
+        if message["type"] == "lifespan.shutdown":
+            return
+
+
+async def _read_body(receive):
+    """Return the body, or None if it is too long."""
+    body = bytearray()
+    while True:
+        message = await receive()
+        if message["type"] != "http.request":
+            return bytes(body)
+        body += message.get("body", b"")
+        if len(body) > _MAX_BODY:
+            return None
+        if not message.get("more_body"):
+            return bytes(body)
+
+
+async def _send(send, method, status, kind, content):
+    headers = [
+        (b"content-type", kind),
+        (b"content-length", b"%d" % len(content)),
+        *_SECURITY_HEADERS,
+    ]
+    if status == 401:
+        headers.append((b"www-authenticate", b'Bearer, Basic realm="operators"'))
+    await send({"type": "http.response.start", "status": status, "headers": headers})
+    body = b"" if method == "HEAD" else content
+    await send({"type": "http.response.body", "body": body})
+
+
+def _json_reply(status, value):
+    return status, b"application/json", json.dumps(value).encode()
+
+
+def _render_page(status):
+    """Return the status as an HTML page; every value is escaped."""
+    parts = [
+        "<!doctype html><meta charset=utf-8><title>Kumquatsaddle</title>",
+        "<style>body{font-family:sans-serif}td,th{padding:2px 8px;text-align:left}"
+        "</style>",
+        f"<h1>Instance {html.escape(str(status['instance']))}</h1>",
+        f"<p>state {html.escape(str(status['state']))}, "
+        f"configuration version {int(status['version'])}</p>",
+    ]
+    for title in ("members", "groups", "servers", "queues", "counters"):
+        parts.append(f"<h2>{title.capitalize()}</h2>{_render_table(status[title])}")
+    return "".join(parts)
+
+
+def _render_table(rows):
+    if not rows:
+        return "<p>none</p>"
+    columns = list(rows[0])
+    head = "".join(f"<th>{html.escape(column)}</th>" for column in columns)
+    lines = [
+        "".join(f"<td>{html.escape(str(row.get(column)))}</td>" for column in columns)
+        for row in rows
+    ]
+    body = "".join(f"<tr>{line}</tr>" for line in lines)
+    return f"<table><tr>{head}</tr>{body}</table>"
--- /dev/null
+++ b/kumquatsaddle/entry/status.py
@@ -0,0 +1,161 @@
+"""What the operators' pages tell about one instance."""
+
+from urllib.parse import urlsplit
+
+from kumquatsaddle.exceptions import RefusedError
+from kumquatsaddle.types import RefusalReason
+
+__all__ = ["describe_status", "explain_request"]
+
+# Shares of an account's limit at the first and the second home.
+_LIMIT_SHARES = (1.0, 0.25)
+
+
+def describe_status(node):
+    """Return the state of an instance as JSON values.
+
+    Parameters
+    ----------
+    node : Node
+
+    Returns
+    -------
+    dict
+    """
+    pools = node.dispatcher.pools.values()
+    return {
+        "instance": node.name,
+        "state": node.table.own.state.value,
+        "version": node.configuration.version,
+        "behind_s": round(node.distribution.behind_for(), 3),
+        "members": _describe_members(node),
+        "groups": [
+            {
+                "group": group.name,
+                "service": group.service,
+                "tokens": group.tokens,
+                "members": [member.name for member in group.members],
+            }
+            for group in node.placement.groups_of(node.name)
+        ],
+        "servers": [
+            _describe_server(pool, one) for pool in pools for one in _servers(pool)
+        ],
+        "queues": [
+            {"service": pool.service.name, "waiting": len(pool.queue)} for pool in pools
+        ],
+        "counters": _describe_counters(node.metrics),
+    }
+
+
+def explain_request(node, query):
+    """Return how a request would be handled, and why.
+
+    Parameters
+    ----------
+    node : Node
+    query : dict
+        ``account``, ``method`` and ``path``.
+
+    Returns
+    -------
+    dict
+
+    Raises
+    ------
+    RefusedError
+        With the reason that a caller would get.
+    """
+    account, method = query.get("account", ""), query.get("method", "GET").upper()
+    path = urlsplit(query.get("path", "")).path
+    if not account:
+        raise RefusedError(RefusalReason.UNKNOWN_ACCOUNT, "account is missing")
+    route = node.configuration.resolve_route(account, method, path)
+    limit = route.limit
+    return {
+        "account": account,
+        "template": node.configuration.accounts[account].template,
+        "service": route.service,
+        "rank": route.rank.name.lower(),
+        "idempotent": route.idempotent,
+        "deadline_s": route.deadline,
+        "limit": {"rate": limit.rate, "burst": limit.burst} if limit else None,
+        "floor": route.floor,
+        "homes": _explain_homes(node, route.service, account),
+    }
+
+
+def _explain_homes(node, service, account):
+    weights = node.placement.homes_of(service)
+    ordered = node.order_homes(service, account)
+    homes = []
+    for index, name in enumerate(ordered):
+        share = _LIMIT_SHARES[index] if index < len(_LIMIT_SHARES) else 0.0
+        place = ("primary", "second")[index] if index < 2 else "further home"
+        why = f"{place}: weighted rendezvous score over service and account"
+        homes.append(
+            {
+                "instance": name,
+                "servers": weights[name],
+                "limit_share": share,
+                "why": why,
+            }
+        )
+    for name in sorted(set(weights) - set(ordered)):
+        member = node.table.members.get(name)
+        state = member.state.value if member else "unknown"
+        why = f"left out: its state is {state}"
+        entry = {"instance": name, "servers": weights[name], "limit_share": 0.0}
+        homes.append({**entry, "why": why})
+    return homes
+
+
+def _describe_members(node):
+    entries = []
+    for name in sorted(node.table.members):
+        member = node.table.members[name]
+        version, _ = node.distribution.heard.get(name, (None, 0.0))
+        if name == node.name:
+            version = node.configuration.version
+        entries.append(
+            {
+                "instance": name,
+                "state": member.state.value,
+                "zone": member.zone,
+                "region": member.region,
+                "control": member.control,
+                "callers": member.callers,
+                "version": version,
+            }
+        )
+    return entries
+
+
+def _servers(pool):
+    return [pool.servers[name] for name in sorted(pool.servers)]
+
+
+def _describe_server(pool, server):
+    return {
+        "server": server.name,
+        "service": pool.service.name,
+        "address": str(server.address),
+        "state": server.health.state.value,
+        "limit": round(server.limit, 3),
+        "in_flight": server.in_flight,
+    }
+
+
+def _describe_counters(metrics):
+    entries = [
+        {"name": f"refusals {reason.value}", "value": value}
+        for reason, value in metrics.refusals.items()
+    ]
+    entries += [
+        {"name": f"retries {reason.value}", "value": value}
+        for reason, value in metrics.retries.items()
+    ]
+    for (name, labels), value in sorted(metrics.counts.items()):
+        words = " ".join(f"{key}={word}" for key, word in labels)
+        entries.append({"name": f"{name} {words}".strip(), "value": value})
+    return [entry for entry in entries if entry["value"]]
--- a/kumquatsaddle/exceptions.py
+++ b/kumquatsaddle/exceptions.py
@@ -14,6 +14,8 @@
     "PlatformError",
     "PlatformUnavailableError",
     "ConflictError",
+    "ChangeNotWrittenError",
+    "ChangeUnknownError",
     "RefusedError",
     "OutcomeUnknownError",
 ]
@@ -94,6 +96,18 @@
     exit_code = 6
 
 
+class ChangeNotWrittenError(PlatformUnavailableError):
+    """A configuration change was not written and never will be."""
+
+    exit_code = 9
+
+
+class ChangeUnknownError(PlatformUnavailableError):
+    """A configuration change may be written; asking again with its id tells."""
+
+    exit_code = 10
+
+
 class RefusedError(KumquatsaddleError):
     """A request did not run and will not run.
 
--- a/kumquatsaddle/lifecycle/node.py
+++ b/kumquatsaddle/lifecycle/node.py
@@ -4,7 +4,6 @@
 the placement and the list of backend servers; every other state belongs to its part.
 """
 
-import random
 import secrets
 import time
 
@@ -15,16 +14,17 @@
 from kumquatsaddle.addresses.homes import HomeCandidate
 from kumquatsaddle.addresses.placement import make_placement
 from kumquatsaddle.admission.limits import make_limits
-from kumquatsaddle.configuration.changes import read_changes, seed_changes
+from kumquatsaddle.configuration.changes import seed_changes
+from kumquatsaddle.configuration.distribution import make_distribution
 from kumquatsaddle.configuration.state import make_configuration
+from kumquatsaddle.configuration.transport import GossipTransport
 from kumquatsaddle.dispatch.dispatcher import make_dispatcher
 from kumquatsaddle.dispatch.peers import make_links
 from kumquatsaddle.entry.callers import make_caller_server
 from kumquatsaddle.entry.control import make_control_server
+from kumquatsaddle.entry.operators import make_operators_server
 from kumquatsaddle.entry.proxy import make_proxy
-from kumquatsaddle.exceptions import ConfigurationError, PlatformError
 from kumquatsaddle.lifecycle.application import make_application
-from kumquatsaddle.logs import log_event
 from kumquatsaddle.membership.gossip import make_gossip
 from kumquatsaddle.membership.members import Member, make_table
 from kumquatsaddle.messages.codec import make_codec
@@ -77,10 +77,19 @@
             self._note_version,
         )
         self.links = None
+        self.transport = GossipTransport(self.table, self.gossip)
+        self.distribution = make_distribution(
+            self.configuration,
+            self.platform,
+            self.transport,
+            self.metrics,
+            lambda: settings.get("platform", "poll_interval"),
+            self._take_list,
+        )
+        self.operators = make_operators_server(self)
         self.backends = []
         self.placement = make_placement((), (), ())
         self._placement_key = None
-        self._wake = trio.Event()
 
     @property
     def name(self):
@@ -129,17 +138,12 @@
             services, self.placement.groups_of(self.name)
         )
 
-    async def refresh(self):
-        """Read the list of instances and the change log from the platform.
+    def _note_version(self, member, version):
+        self.distribution.on_version(member, version)
 
-        Raises
-        ------
-        PlatformError
-            If the platform cannot be reached; what is in force stays.
-        """
-        for change in await read_changes(self.platform, self.configuration.version):
-            self.configuration.apply_change(change)
-        listed = await self.platform.list_instances()
+    def _take_list(self):
+        """Take over the list of backend servers and the drains of operators."""
+        drains = self.configuration.drains
         self.backends = [
             Backend(
                 BackendId(entry.name),
@@ -147,45 +151,21 @@
                 entry.address,
                 entry.zone,
                 entry.region,
-                entry.leaving,
+                entry.leaving or entry.name in drains,
             )
-            for entry in listed
-            if entry.role == "backend"
+            for entry in self.distribution.backends or ()
         ]
         self.gossip.seeds |= {
-            entry.address for entry in listed if entry.role == "entry"
+            entry.address for entry in self.distribution.listed if entry.role == "entry"
         }
-        await self.update_placement()
 
-    def _note_version(self, member, version):
-        if version > self.configuration.version:
-            self._wake.set()
-
-    async def _load_first(self, nursery):
-        for change in seed_changes(self.settings.seeds):
-            self.configuration.apply_change(change)
+    async def _load_first(self):
+        if self.settings.get("platform", "kind") == "memory":
+            self.distribution.apply_changes(seed_changes(self.settings.seeds))
         self.gossip.seeds |= {
             str(address) for address in self.settings.get("membership", "seeds")
         }
-        while True:
-            try:
-                await self.refresh()
-                return
-            except (PlatformError, ConfigurationError) as error:
-                log_event("refresh_failed", level="WARNING", error=error)
-                await trio.sleep(1.0)
-
-    async def _poll_platform(self):
-        rng = random.Random()
-        while True:
-            interval = self.settings.get("platform", "poll_interval")
-            with trio.move_on_after(interval * rng.uniform(0.5, 1.5)):
-                await self._wake.wait()
-            self._wake = trio.Event()
-            try:
-                await self.refresh()
-            except (PlatformError, ConfigurationError) as error:
-                log_event("refresh_failed", level="WARNING", error=error)
+        await self.distribution.load_first()
 
     async def _watch_placement(self):
         while True:
@@ -195,16 +175,19 @@
     async def start(self, nursery):
         """Start the tasks; the instance serves once it has a configuration."""
         listen = self.settings.get("listen", "control")
-        self.links = make_links(self.codec, nursery)
+        self.links = self.transport.links = make_links(self.codec, nursery)
         await nursery.start(self.gossip.run, listen)
         control = make_control_server(self)
         await nursery.start(control.run, listen)
         self.callers = make_caller_server(self, make_proxy(self))
         await nursery.start(self.callers.run, self.settings.get("listen", "callers"))
-        await self._load_first(nursery)
+        await nursery.start(
+            self.operators.run, self.settings.get("listen", "operators")
+        )
+        await self._load_first()
         self.gossip.set_own_state(InstanceState.ALIVE)
         await self.update_placement()
-        nursery.start_soon(self._poll_platform)
+        nursery.start_soon(self.distribution.run)
         nursery.start_soon(self._watch_placement)
 
     async def stop(self):
--- a/kumquatsaddle/messages/messages.capnp
+++ b/kumquatsaddle/messages/messages.capnp
@@ -96,13 +96,18 @@
 
 struct FetchChanges {
   number @0 :UInt32;
-  after @1 :UInt64;
+  after @1 :UInt64;        # version in force at the sender
+  wantBackends @2 :Bool;   # a starting instance also needs the list of servers
 }
 
 struct Changes {
   number @0 :UInt32;
   entries @1 :List(Data);  # JSON of each change, in order
-  snapshot @2 :Data;       # JSON of the whole configuration, or empty
+  snapshot @2 :Data;       # the whole configuration, or empty
+  ready @3 :Bool;          # whether the sender has read a configuration itself
+  backends @4 :Data;       # JSON of the list of backend servers, or empty
+  listedAt @5 :Float64;    # when the list was read, by the clock of the platform
+  version @6 :UInt64;      # version in force at the sender
 }
 
 struct Hello {
--- a/kumquatsaddle/platform/__init__.py
+++ b/kumquatsaddle/platform/__init__.py
@@ -5,6 +5,7 @@
 
 from kumquatsaddle.platform.http import make_http_platform
 from kumquatsaddle.platform.interface import (
+    InstanceList,
     ListedInstance,
     Platform,
     Row,
@@ -14,6 +15,7 @@
 from kumquatsaddle.platform.memory import MemoryPlatform, make_memory_platform
 
 __all__ = [
+    "InstanceList",
     "ListedInstance",
     "MemoryPlatform",
     "Platform",
--- a/kumquatsaddle/platform/http.py
+++ b/kumquatsaddle/platform/http.py
@@ -11,13 +11,20 @@
 
 import json
 import ssl
+import time
+from email.utils import parsedate_to_datetime
 from urllib.parse import quote
 
 import httpcore
 import trio
 
 from kumquatsaddle.exceptions import ConflictError, PlatformUnavailableError
-from kumquatsaddle.platform.interface import ListedInstance, Row, platforms
+from kumquatsaddle.platform.interface import (
+    InstanceList,
+    ListedInstance,
+    Row,
+    platforms,
+)
 
 __all__ = ["HttpPlatform", "make_http_platform"]
 
@@ -57,6 +64,8 @@
         response = await self._call("PUT", f"/table/{quote(key)}", body, condition)
         if response.status == 412:
             raise ConflictError(f"{key}: not at version {expected_version}")
+        if response.status == 404:
+            raise PlatformUnavailableError(f"{key}: 404")
         return self._tag(response)
 
     async def delete_row(self, key, expected_version):
@@ -70,7 +79,10 @@
         """Return rows in the order of their keys."""
         query = f"?prefix={quote(prefix)}&after={quote(after)}&limit={limit}"
         rows = self._json(await self._call("GET", f"/table{query}"))
-        return [Row(row["key"], row["value"], row["version"]) for row in rows]
+        try:
+            return [Row(row["key"], row["value"], row["version"]) for row in rows]
+        except (TypeError, KeyError) as error:
+            raise PlatformUnavailableError(f"/table: {error!r}") from None
 
     async def read_object(self, key):
         """Return an object's bytes, or None."""
@@ -83,11 +95,14 @@
 
     async def list_instances(self):
         """Return the instances known to the platform."""
-        entries = self._json(await self._call("GET", "/instances"))
+        asked_at = time.time()
+        response = await self._call("GET", "/instances")
+        entries = self._json(response)
         try:
-            return [ListedInstance(**entry) for entry in entries]
+            listed = [ListedInstance(**entry) for entry in entries]
         except TypeError as error:
             raise PlatformUnavailableError(f"/instances: {error}") from None
+        return InstanceList(listed, _read_date(response, asked_at))
 
     async def close(self):
         """Close the connections."""
@@ -111,7 +126,7 @@
     def _json(response):
         try:
             return json.loads(response.content)
-        except ValueError:
+        except (ValueError, RecursionError):
             raise PlatformUnavailableError("the reply is not JSON") from None
 
     @staticmethod
@@ -122,6 +137,17 @@
         raise PlatformUnavailableError("the reply has no ETag")
 
 
+def _read_date(response, default):
+    """Return the time of a reply in seconds since the epoch (RFC 9110, 6.6.1)."""
+    for name, value in response.headers:
+        if name.lower() == b"date":
+            try:
+                return parsedate_to_datetime(value.decode("latin-1")).timestamp()
+            except ValueError:
+                break
+    return default
+
+
 def _condition(expected_version):
     if expected_version is None:
         return [("If-None-Match", "*")]
--- a/kumquatsaddle/platform/interface.py
+++ b/kumquatsaddle/platform/interface.py
@@ -6,7 +6,14 @@
 from kumquatsaddle.registries import Registry
 from kumquatsaddle.types import RegionId, ServiceName, ZoneId
 
-__all__ = ["ListedInstance", "Platform", "Row", "make_platform", "platforms"]
+__all__ = [
+    "InstanceList",
+    "ListedInstance",
+    "Platform",
+    "Row",
+    "make_platform",
+    "platforms",
+]
 
 platforms = Registry("platform")
 
@@ -49,6 +56,21 @@
     leaving: bool = False
 
 
+class InstanceList(list):
+    """The platform's list of instances and when it was read.
+
+    Parameters
+    ----------
+    entries : iterable of ListedInstance
+    read_at : float
+        Seconds since the epoch by the clock of the platform.
+    """
+
+    def __init__(self, entries=(), read_at=0.0):
+        super().__init__(entries)
+        self.read_at = read_at
+
+
 class Platform(Protocol):
     """What the fleet asks of the platform.
 
@@ -91,7 +113,7 @@
     async def write_object(self, key: str, data: bytes) -> None:
         """Write an object."""
 
-    async def list_instances(self) -> list[ListedInstance]:
+    async def list_instances(self) -> InstanceList:
         """Return the instances known to the platform."""
 
 
--- a/kumquatsaddle/platform/memory.py
+++ b/kumquatsaddle/platform/memory.py
@@ -1,18 +1,31 @@
 """The platform embedded in memory, for tests and for trying the fleet on a laptop."""
 
 import json
+import time
 
 from kumquatsaddle.exceptions import ConflictError
-from kumquatsaddle.platform.interface import ListedInstance, Row, platforms
+from kumquatsaddle.platform.interface import (
+    InstanceList,
+    ListedInstance,
+    Row,
+    platforms,
+)
 from kumquatsaddle.types import RegionId, ServiceName, ZoneId
 
 __all__ = ["MemoryPlatform", "make_memory_platform"]
 
 
 class MemoryPlatform:
-    """Rows, objects and instances in dictionaries; versions are counters."""
+    """Rows, objects and instances in dictionaries; versions are counters.
 
-    def __init__(self):
+    Parameters
+    ----------
+    clock : callable, optional
+        Returns seconds since the epoch.
+    """
+
+    def __init__(self, clock=time.time):
+        self._clock = clock
         self.rows = {}
         self.objects = {}
         self.instances = {}
@@ -56,7 +69,8 @@
 
     async def list_instances(self):
         """Return the instances in the order of their names."""
-        return [self.instances[name] for name in sorted(self.instances)]
+        entries = [self.instances[name] for name in sorted(self.instances)]
+        return InstanceList(entries, self._clock())
 
 
 @platforms.register("memory")
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -15,6 +15,7 @@
 import json
 import sys
 from dataclasses import asdict
+from email.utils import formatdate
 from urllib.parse import parse_qs, unquote, urlsplit
 
 import trio
@@ -61,7 +62,9 @@
 
     async def _handle_call(self, method, parts, headers, body):
         if parts.path == "/instances":
-            return reply_json([asdict(entry) for entry in self._list_instances()])
+            entries = [asdict(entry) for entry in self._list_instances()]
+            date = formatdate(usegmt=True)
+            return reply_json(entries, headers=[("Date", date)])
         if parts.path == "/table" and method == "GET":
             return await self._list_rows(parts.query)
         kind, _, key = unquote(parts.path).lstrip("/").partition("/")
