--- a/kumquatsaddle/configuration/commits.py
+++ b/kumquatsaddle/configuration/commits.py
@@ -204,7 +204,8 @@
     try:
         await distribution.read_table()
         version = distribution.configuration.version_of(edit.kind, edit.name)
-        if version <= (edit.expected or 0):
+        # A repeated edit may name a version that it has itself made.
+        if not edit.repeated and version <= (edit.expected or 0):
             return None
         changes = await read_history(distribution, edit.kind, edit.name, _MOST_STEPS)
     except PlatformUnavailableError as error:
--- /dev/null
+++ b/kumquatsaddle/configuration/tests/commits.feature
@@ -0,0 +1,39 @@
+Feature: Commits of configuration changes
+
+  Scenario: Interleaved operators with lost replies, outages and late writes
+    # Guards against a change that is accepted twice, lost after it was accepted,
+    # or accepted after its operator was told otherwise.
+    Then the log is gapless and agrees with every answer in 60 seeded runs
+
+  Scenario: A write that takes effect after the read that looked for it
+    # Guards against "not written" for a change that appears later.
+    Given a platform whose first write takes effect 3 seconds late
+    When an operator creates a service and gives up when there is no answer
+    Then the log has one change with the operator's id, at one version
+
+  Scenario: A withdrawn edit never takes effect
+    # Guards against a late write that appears after its operator gave up.
+    Given a platform whose writes take effect 3 seconds late without a reply
+    When an operator creates a service, is told "unknown" and withdraws it
+    Then after 10 seconds the answer of the withdrawal agrees with the log
+
+  Scenario: Edits of different entities do not conflict
+    # Guards against conflicts between operators who edit different accounts.
+    Given a configuration with 2 accounts that two operators have read
+    When both edit different accounts at the same version of the log
+    Then both edits are accepted
+    And an edit of an entity that has changed since is a conflict
+    And a repetition of the earlier edit is accepted with its first version
+
+  Scenario: References between entities are checked
+    # Guards against routes to nowhere and accounts without a template.
+    Given a configuration with 2 accounts that two operators have read
+    Then an account of an unknown template is refused with its field
+    And a route to an unknown service is refused with its field
+    And a template and a service in use cannot be deleted
+
+  Scenario: The platform is unavailable
+    # Guards against "not written" for an edit that an earlier attempt wrote.
+    Given a configuration with 2 accounts that two operators have read
+    When the platform is down
+    Then a first attempt is answered not written and a repeated one unknown
--- /dev/null
+++ b/kumquatsaddle/configuration/tests/distribution.feature
@@ -0,0 +1,39 @@
+Feature: Distribution of accepted changes
+
+  Scenario: Every instance has an accepted change within 5 seconds
+    # Guards against changes that wait for the poll of the table, and against versions
+    # that go down after a restart, an outage or news from a stale instance.
+    Given 40 connected configurations, 10 percent of the messages lost
+    When operators commit for 90 seconds while instances restart and the platform fails
+    Then no version ever went down and restarted instances started up to date
+    And every change was in force within 5 seconds at every connected instance
+    And all instances reach the last accepted version
+
+  Scenario: An instance starts while the platform is unavailable
+    # Guards against a start without configuration or without backend servers.
+    Given 5 connected configurations that hold 3 changes and a list of servers
+    When the platform fails and an instance starts with one stale peer in reach
+    Then it starts with the version and the list of its peers
+
+  Scenario: Nobody has a configuration
+    # Guards against an empty configuration that is taken for a valid one.
+    Given 3 instances that start while the platform is unavailable
+    Then none of them becomes ready before the platform is back
+
+  Scenario: A peer that is far behind gets a snapshot
+    # Guards against gaps when a peer lacks more changes than are kept.
+    Given an instance with 450 changes
+    Then a peer behind by any number of changes reaches its version in one fetch
+
+  Scenario: Lost, damaged and stale snapshots are harmless
+    # Guards against a start from a half-written or an old snapshot.
+    Given an instance with 450 changes
+    Then a starting instance reaches the same entities whatever happened to snapshots
+
+  Scenario: An older list of backend servers does not replace a newer one
+    # Guards against servers that come back through a peer with an old list.
+    Then of lists from the platform and from peers the latest read is in force
+
+  Scenario: A log row that is no change stops the log but not the list
+    # Guards against an invalid row that stops all reads of the platform.
+    Then after an invalid row the list of servers is still read and peers are served
--- /dev/null
+++ b/kumquatsaddle/configuration/tests/steps/commits.py
@@ -0,0 +1,340 @@
+import random
+
+import trio
+from behave import given, then, when
+
+from kumquatsaddle.configuration.changes import read_changes
+from kumquatsaddle.configuration.commits import Edit, commit_edit, withdraw_edit
+from kumquatsaddle.exceptions import (
+    ChangeNotWrittenError,
+    ChangeUnknownError,
+    ConfigurationError,
+    ConflictError,
+    PlatformUnavailableError,
+)
+from kumquatsaddle.testing.configuration import (
+    FakeNetwork,
+    FakeNode,
+    FaultyPlatform,
+    run_with_mock_clock,
+)
+
+_RUNS = 60
+_OPERATORS = 5
+_EDITS = 4
+_NODES = 3
+_NAMES = ("a", "b")
+
+
+def make_nodes(nursery, platform, count, seed):
+    network = FakeNetwork(nursery, seed)
+    return [FakeNode(f"n{index}", network, platform, seed) for index in range(count)]
+
+
+async def settle_edit(rng, nodes, edit):
+    """Commit an edit as a patient operator; return the last answer."""
+    while True:
+        distribution = rng.choice(nodes).distribution
+        try:
+            change = await commit_edit(distribution, edit, trio.current_time)
+            return "accepted", change.version
+        except ConflictError:
+            return "conflict", None
+        except ChangeNotWrittenError:
+            return "not-written", None
+        except ChangeUnknownError:
+            pass
+        edit = Edit(
+            edit.kind, edit.name, edit.value, edit.expected, edit.change_id, "", True
+        )
+        if rng.random() < 0.2:
+            try:
+                change = await withdraw_edit(
+                    distribution, edit.kind, edit.name, edit.change_id
+                )
+            except ChangeUnknownError:
+                continue
+            return ("accepted", change.version) if change else ("not-written", None)
+        await trio.sleep(rng.uniform(0.0, 2.0))
+
+
+async def run_operator(rng, nodes, number, answers):
+    for index in range(_EDITS):
+        name = rng.choice(_NAMES)
+        configuration = rng.choice(nodes).distribution.configuration
+        present = name in configuration.services
+        expected = configuration.version_of("service", name) if present else None
+        value = {"slots": rng.randrange(1, 9)}
+        if present and rng.random() < 0.2:
+            value = None
+        edit = Edit("service", name, value, expected, f"{number}-{index}")
+        try:
+            answer = await settle_edit(rng, nodes, edit)
+        except ConfigurationError:
+            # Another operator removed the entity first.
+            answer = "invalid", None
+        answers[edit.change_id] = (edit, *answer)
+        await trio.sleep(rng.uniform(0.0, 1.0))
+
+
+async def run_interleaving(seed):
+    rng = random.Random(seed)
+    answers = {}
+    async with trio.open_nursery() as late:
+        platform = FaultyPlatform(late, seed, fault_rate=rng.choice((0.1, 0.4)))
+        nodes = make_nodes(late, platform, _NODES, seed)
+        async with trio.open_nursery() as nursery:
+            for number in range(_OPERATORS):
+                nursery.start_soon(run_operator, rng, nodes, number, answers)
+            for _ in range(rng.randrange(3)):
+                await trio.sleep(rng.uniform(0.0, 2.0))
+                platform.down = True
+                await trio.sleep(rng.uniform(0.0, 2.0))
+                platform.down = False
+            platform.fault_rate = min(platform.fault_rate, 0.3)
+        platform.fault_rate = 0.0
+        await trio.sleep(platform.longest_late)
+    log = await read_changes(platform.store, 0)
+    return log, len(await platform.store.list_rows("config/changes/")), answers
+
+
+def check_log(log, rows, answers):
+    assert [change.version for change in log] == list(range(1, rows + 1))
+    versions, latest = {}, {}
+    for change in log:
+        if change.kind == "none":
+            continue
+        assert change.change_id not in versions, "accepted twice"
+        versions[change.change_id] = change.version
+        assert change.previous == latest.get(change.name, 0)
+        latest[change.name] = change.version
+        edit = answers[change.change_id][0]
+        assert edit.expected in (None, change.previous)
+    for change_id, (_, outcome, version) in answers.items():
+        assert (outcome == "accepted") == (change_id in versions), outcome
+        assert versions.get(change_id) == version
+
+
+@then("the log is gapless and agrees with every answer in 60 seeded runs")
+def check_interleavings(context):
+    outcomes = set()
+    for seed in range(_RUNS):
+        log, rows, answers = run_with_mock_clock(run_interleaving, seed)
+        check_log(log, rows, answers)
+        outcomes |= {outcome for _, outcome, _ in answers.values()}
+    assert {"accepted", "conflict", "not-written"} <= outcomes
+
+
+class LatePlatform(FaultyPlatform):
+    """Delays the effect of the first `late_writes` puts by 3 seconds."""
+
+    late_writes = 1
+
+    def __getattr__(self, name):
+        call = super().__getattr__(name)
+        if name != "put_row":
+            return call
+
+        async def put(*arguments):
+            if self.late_writes <= 0:
+                return await call(*arguments)
+            self.late_writes -= 1
+            method = self.store.put_row
+            self._nursery.start_soon(self._take_effect, method, arguments, 3.0)
+            raise PlatformUnavailableError("no reply")
+
+        return put
+
+
+@given("a platform whose first write takes effect 3 seconds late")
+def use_one_late_write(context):
+    context.late_writes = 1
+
+
+@given("a platform whose writes take effect 3 seconds late without a reply")
+def use_late_writes(context):
+    # The attempts of the edit itself; the withdrawal is answered.
+    context.late_writes = 4
+
+
+@when("an operator creates a service and gives up when there is no answer")
+def create_with_late_write(context):
+    async def run():
+        async with trio.open_nursery() as nursery:
+            platform = LatePlatform(nursery)
+            platform.late_writes = context.late_writes
+            node = make_nodes(nursery, platform, 1, 1)[0]
+            edit = Edit("service", "s", {}, None, "mine")
+            context.change = await commit_edit(node.distribution, edit)
+            # Another change takes the next version before the late write arrives.
+            await commit_edit(node.distribution, Edit("service", "t", {}, None, "x"))
+            await trio.sleep(10)
+        context.log = await read_changes(platform.store, 0)
+
+    run_with_mock_clock(run)
+
+
+@then("the log has one change with the operator's id, at one version")
+def check_late_write(context):
+    found = [change for change in context.log if change.change_id == "mine"]
+    assert [change.version for change in found] == [context.change.version]
+    assert len(context.log) == 2
+
+
+@when('an operator creates a service, is told "unknown" and withdraws it')
+def withdraw_late_write(context):
+    async def run():
+        async with trio.open_nursery() as nursery:
+            platform = LatePlatform(nursery)
+            platform.late_writes = context.late_writes
+            node = make_nodes(nursery, platform, 1, 1)[0]
+            try:
+                await commit_edit(
+                    node.distribution, Edit("service", "s", {}, None, "mine")
+                )
+                raise AssertionError("no write was answered")
+            except ChangeUnknownError:
+                pass
+            context.withdrawn = await withdraw_edit(
+                node.distribution, "service", "s", "mine"
+            )
+            await trio.sleep(10)
+        context.log = await read_changes(platform.store, 0)
+
+    run_with_mock_clock(run)
+
+
+@then("after 10 seconds the answer of the withdrawal agrees with the log")
+def check_withdrawal(context):
+    assert context.withdrawn is None
+    assert [change.kind for change in context.log] == ["none"]
+
+
+@given("a configuration with 2 accounts that two operators have read")
+def make_two_accounts(context):
+    context.edits = [
+        ("service", "s", {}),
+        ("template", "t", {"routes": [{"prefix": "/", "service": "s"}]}),
+        ("account", "one", {"template": "t"}),
+        ("account", "two", {"template": "t"}),
+    ]
+
+
+async def make_filled_node(context, nursery):
+    platform = FaultyPlatform(nursery)
+    node = make_nodes(nursery, platform, 1, 1)[0]
+    for kind, name, value in context.edits:
+        await commit_edit(node.distribution, Edit(kind, name, value, None))
+    return node, platform
+
+
+@when("both edit different accounts at the same version of the log")
+def edit_different_accounts(context):
+    async def run():
+        async with trio.open_nursery() as nursery:
+            node, platform = await make_filled_node(context, nursery)
+            other = make_nodes(nursery, platform, 1, 2)[0]
+            context.accepted = {}
+
+            async def edit(distribution, name):
+                value = {"template": "t", "floors": {"s": 1}}
+                edit = Edit("account", name, value, 3 + (name == "two"), name)
+                context.accepted[name] = await commit_edit(distribution, edit)
+
+            async with trio.open_nursery() as inner:
+                inner.start_soon(edit, node.distribution, "one")
+                inner.start_soon(edit, other.distribution, "two")
+            value = {"template": "t"}
+            again = Edit("account", "one", value, 3, "late")
+            try:
+                await commit_edit(node.distribution, again)
+                context.conflict = None
+            except ConflictError as error:
+                context.conflict = error
+            # A later edit hides the first one from a simple look at the entity.
+            await commit_edit(
+                node.distribution,
+                Edit("account", "one", value, context.accepted["one"].version, "new"),
+            )
+            first = Edit("account", "one", value, 3, "one", "", True)
+            context.repeated = await commit_edit(other.distribution, first)
+
+    run_with_mock_clock(run)
+
+
+@then("both edits are accepted")
+def check_both_accepted(context):
+    versions = {change.version for change in context.accepted.values()}
+    assert versions == {5, 6}
+
+
+@then("an edit of an entity that has changed since is a conflict")
+def check_conflict_was_raised(context):
+    assert context.conflict is not None
+    assert context.conflict.exit_code == 6
+
+
+@then("a repetition of the earlier edit is accepted with its first version")
+def check_repetition(context):
+    assert context.repeated.version == context.accepted["one"].version
+
+
+def expect_refusal(context, edit, field):
+    async def run():
+        async with trio.open_nursery() as nursery:
+            node, platform = await make_filled_node(context, nursery)
+            try:
+                await commit_edit(node.distribution, edit)
+            except ConfigurationError as error:
+                assert error.field == field, error
+            else:
+                raise AssertionError("accepted")
+            assert len(await read_changes(platform.store, 0)) == len(context.edits)
+
+    run_with_mock_clock(run)
+
+
+@then("an account of an unknown template is refused with its field")
+def check_unknown_template(context):
+    edit = Edit("account", "x", {"template": "none"}, None)
+    expect_refusal(context, edit, "accounts/x.template")
+
+
+@then("a route to an unknown service is refused with its field")
+def check_unknown_service(context):
+    value = {"routes": [{"prefix": "/a", "service": "none"}]}
+    expect_refusal(
+        context, Edit("template", "x", value, None), "templates/x.routes * /a"
+    )
+
+
+@then("a template and a service in use cannot be deleted")
+def check_in_use(context):
+    expect_refusal(context, Edit("service", "s", None, 1), "services/s")
+    expect_refusal(context, Edit("template", "t", None, 2), "templates/t")
+
+
+@when("the platform is down")
+def note_down(context):
+    context.down = True
+
+
+@then("a first attempt is answered not written and a repeated one unknown")
+def check_down(context):
+    async def run():
+        async with trio.open_nursery() as nursery:
+            node, platform = await make_filled_node(context, nursery)
+            platform.down = context.down
+            value = {"template": "t"}
+            for repeated, kind in (
+                (False, ChangeNotWrittenError),
+                (True, ChangeUnknownError),
+            ):
+                edit = Edit("account", "x", value, None, "id", "", repeated)
+                try:
+                    await commit_edit(node.distribution, edit)
+                    raise AssertionError("accepted")
+                except (ChangeNotWrittenError, ChangeUnknownError) as error:
+                    assert type(error) is kind
+
+    run_with_mock_clock(run)
--- /dev/null
+++ b/kumquatsaddle/configuration/tests/steps/distribution.py
@@ -0,0 +1,384 @@
+import random
+
+import trio
+from behave import given, then, when
+
+from kumquatsaddle.configuration.changes import parse_change
+from kumquatsaddle.configuration.commits import Edit, commit_edit
+from kumquatsaddle.configuration.values import dump_entity
+from kumquatsaddle.exceptions import ConflictError, PlatformError
+from kumquatsaddle.platform.interface import InstanceList, ListedInstance
+from kumquatsaddle.testing.configuration import (
+    FakeNetwork,
+    FaultyPlatform,
+    run_with_mock_clock,
+)
+
+_SECONDS = 90
+_LIMIT = 5.0
+_SEEDS = (1, 2, 3)
+
+
+def make_server(name):
+    return ListedInstance(name, "backend", "s", "127.0.0.1:1", "a", "r")
+
+
+async def wait_until_ready(nodes):
+    while not all(node.ready_at is not None for node in nodes):
+        await trio.sleep(0.05)
+
+
+def dump_all(configuration):
+    return {
+        (kind, name): (entity.version, dump_entity(entity))
+        for kind in ("service", "template", "account", "drain")
+        for name, entity in configuration.entities(kind).items()
+    }
+
+
+class FleetRun:
+    """40 nodes with operators, restarts, outages and stale nodes, from one seed."""
+
+    def __init__(self, seed, count=40):
+        self.rng = random.Random(seed)
+        self.seed = seed
+        self.count = count
+        self.accepted = []
+        self.problems = []
+        self.joined_at = {}
+
+    async def run(self):
+        async with trio.open_nursery() as nursery:
+            self.platform = FaultyPlatform(nursery, self.seed, fault_rate=0.05)
+            self.network = FakeNetwork(nursery, self.seed)
+            for index in range(self.count):
+                self.start_node(f"n{index:02d}")
+            await wait_until_ready(self.network.nodes.values())
+            nursery.start_soon(self.check_always)
+            nursery.start_soon(self.disturb)
+            await self.commit(nursery)
+            self.platform.down = False
+            for node in self.network.nodes.values():
+                node.isolated = False
+            await trio.sleep(_LIMIT)
+            self.final = {node.version for node in self.network.nodes.values()}
+            nursery.cancel_scope.cancel()
+
+    def start_node(self, name):
+        self.joined_at[name] = trio.current_time()
+        return self.network.add(name, self.platform, self.rng.randrange(1 << 30))
+
+    async def commit(self, nursery):
+        end = trio.current_time() + _SECONDS
+        while trio.current_time() < end:
+            await trio.sleep(self.rng.uniform(0.0, 3.0))
+            node = self.rng.choice(list(self.network.nodes.values()))
+            if node.isolated or not node.distribution.ready:
+                continue
+            name = f"s{self.rng.randrange(20)}"
+            expected = node.distribution.configuration.version_of("service", name)
+            edit = Edit("service", name, {"slots": 3}, expected)
+            try:
+                change = await commit_edit(node.distribution, edit)
+            except (ConflictError, PlatformError):
+                continue
+            self.accepted.append(change.version)
+            nursery.start_soon(self.check_in_force, change, trio.current_time())
+
+    async def check_in_force(self, change, accepted_at):
+        connected = {
+            name: node
+            for name, node in self.network.nodes.items()
+            if not node.isolated and self.joined_at[name] <= accepted_at
+        }
+        await trio.sleep(_LIMIT)
+        for name, node in connected.items():
+            if self.network.nodes[name] is not node or node.isolated:
+                continue
+            if node.version < change.version:
+                self.problems.append((name, node.version, change.version))
+
+    async def check_always(self):
+        highest = {}
+        while True:
+            await trio.sleep(0.05)
+            for node in self.network.nodes.values():
+                if node.version < highest.get(node, 0):
+                    self.problems.append((node.name, "went down", node.version))
+                highest[node] = max(node.version, highest.get(node, 0))
+
+    async def disturb(self):
+        while True:
+            await trio.sleep(self.rng.uniform(1.0, 6.0))
+            event = self.rng.choice(("restart", "outage", "stale"))
+            name = self.rng.choice(sorted(self.network.nodes))
+            if event == "outage":
+                self.platform.down = not self.platform.down
+            elif event == "stale":
+                node = self.network.nodes[name]
+                node.isolated = not node.isolated
+                self.joined_at[name] = trio.current_time()
+            else:
+                self.network.nodes[name].kill()
+                node = self.start_node(name)
+                self.network.nursery.start_soon(self.check_start, node)
+
+    async def check_start(self, node):
+        """Check that a node starts with what was in force everywhere before."""
+        known = max(self.accepted, default=0)
+        await trio.sleep(_LIMIT)
+        while node.ready_at is None and self.network.nodes[node.name] is node:
+            await trio.sleep(0.05)
+        if node.ready_at is not None and node.version < known and not node.isolated:
+            self.problems.append((node.name, "started old", node.version, known))
+
+
+@given("40 connected configurations, 10 percent of the messages lost")
+def make_fleet(context):
+    context.runs = [FleetRun(seed) for seed in _SEEDS]
+
+
+@when("operators commit for 90 seconds while instances restart and the platform fails")
+def run_fleet(context):
+    for run in context.runs:
+        run_with_mock_clock(run.run)
+
+
+@then("no version ever went down and restarted instances started up to date")
+def check_versions(context):
+    for run in context.runs:
+        bad = [problem for problem in run.problems if isinstance(problem[1], str)]
+        assert not bad, bad
+        for node in run.network.nodes.values():
+            assert node.versions == sorted(node.versions)
+
+
+@then("every change was in force within 5 seconds at every connected instance")
+def check_limit(context):
+    for run in context.runs:
+        assert len(run.accepted) >= 10
+        assert not run.problems, run.problems
+
+
+@then("all instances reach the last accepted version")
+def check_final(context):
+    for run in context.runs:
+        assert len(run.final) == 1 and min(run.final) >= max(run.accepted)
+
+
+@given("5 connected configurations that hold 3 changes and a list of servers")
+def describe_small_fleet(context):
+    context.names = [f"n{index}" for index in range(5)]
+
+
+@when("the platform fails and an instance starts with one stale peer in reach")
+def start_in_outage(context):
+    async def run():
+        async with trio.open_nursery() as nursery:
+            platform = FaultyPlatform(nursery)
+            platform.store.instances["b1"] = make_server("b1")
+            network = FakeNetwork(nursery, 1, loss=0.0)
+            nodes = [network.add(name, platform, 1) for name in context.names]
+            await wait_until_ready(nodes)
+            stale = nodes[0]
+            await commit_edit(nodes[1].distribution, Edit("service", "s", {}, None))
+            await trio.sleep(2)
+            stale.isolated = True
+            for name in ("t", "u"):
+                await commit_edit(
+                    nodes[1].distribution, Edit("service", name, {}, None)
+                )
+            await trio.sleep(2)
+            assert stale.version == 1
+            platform.down, stale.isolated = True, False
+            new = network.add("new", platform, 7)
+            await wait_until_ready([new])
+            context.started = new.version, new.distribution.backends
+            nursery.cancel_scope.cancel()
+
+    run_with_mock_clock(run)
+
+
+@then("it starts with the version and the list of its peers")
+def check_started(context):
+    assert context.started == (3, [make_server("b1")])
+
+
+@given("3 instances that start while the platform is unavailable")
+def start_without_anything(context):
+    async def run():
+        async with trio.open_nursery() as nursery:
+            platform = FaultyPlatform(nursery)
+            platform.down = True
+            network = FakeNetwork(nursery, 1)
+            nodes = [network.add(f"n{index}", platform, index) for index in range(3)]
+            await trio.sleep(60)
+            context.ready_in_outage = [node.ready_at for node in nodes]
+            platform.down = False
+            await trio.sleep(10)
+            context.ready_after = [node.ready_at for node in nodes]
+            nursery.cancel_scope.cancel()
+
+    run_with_mock_clock(run)
+
+
+@then("none of them becomes ready before the platform is back")
+def check_not_ready(context):
+    assert context.ready_in_outage == [None] * 3
+    assert None not in context.ready_after
+
+
+@given("an instance with 450 changes")
+def describe_long_log(context):
+    context.changes = 450
+
+
+async def make_long_log(context, nursery):
+    platform = FaultyPlatform(nursery)
+    network = FakeNetwork(nursery, 1, loss=0.0)
+    node = network.add("old", platform, 1)
+    await wait_until_ready([node])
+    for number in range(context.changes):
+        name = f"s{number % 30}"
+        version = node.distribution.configuration.version_of("service", name)
+        present = name in node.distribution.configuration.services
+        value = None if present and number % 7 == 0 else {"slots": 1 + number % 9}
+        edit = Edit("service", name, value, version)
+        await commit_edit(node.distribution, edit)
+    await trio.sleep(1)
+    return platform, network, node
+
+
+@then("a peer behind by any number of changes reaches its version in one fetch")
+def check_fetch(context):
+    async def run():
+        async with trio.open_nursery() as nursery:
+            platform, network, node = await make_long_log(context, nursery)
+            rows = await platform.store.list_rows("config/changes/")
+            wanted = dump_all(node.distribution.configuration)
+            for behind in (0, 1, 199, 200, 201, 350, 450):
+                lonely = FakeNetwork(nursery, 2, loss=0.0)
+                peer = lonely.add(f"p{behind}", platform, 3, start=False)
+                for row in rows[: context.changes - behind]:
+                    peer.distribution.apply_changes([parse_change(row.value)])
+                peer.network.nodes["old"] = node
+                await peer.distribution._fetch("old")
+                assert peer.version == context.changes
+                assert dump_all(peer.distribution.configuration) == wanted
+            nursery.cancel_scope.cancel()
+
+    run_with_mock_clock(run)
+
+
+@then("a starting instance reaches the same entities whatever happened to snapshots")
+def check_snapshots(context):
+    async def run():
+        async with trio.open_nursery() as nursery:
+            platform, network, node = await make_long_log(context, nursery)
+            wanted = dump_all(node.distribution.configuration)
+            objects = platform.store.objects
+            assert sorted(objects)[-1].endswith("0400")
+            whole = dict(objects)
+            rng = random.Random(1)
+
+            async def start(label):
+                lonely = FakeNetwork(nursery, 5, loss=0.0)
+                new = lonely.add(label, platform, 9)
+                await wait_until_ready([new])
+                assert new.version == context.changes, label
+                assert dump_all(new.distribution.configuration) == wanted, label
+                assert (
+                    new.distribution.configuration.removed
+                    == node.distribution.configuration.removed
+                )
+                new.kill()
+
+            await start("intact")
+            last = sorted(objects)[-1]
+            for trial in range(40):
+                data = bytearray(whole[last])
+                place = rng.randrange(len(data))
+                if trial % 2:
+                    data = data[:place]
+                else:
+                    data[place] ^= 1 << rng.randrange(8)
+                objects[last] = bytes(data)
+                await start(f"damaged-{trial}")
+            del objects[last]
+            await start("lost")
+            objects.clear()
+            await start("all-lost")
+            objects.update(whole)
+            for pointer in (100, 999999, -5):
+                key = "config/snapshot"
+                platform.store.rows[key] = ('{"version": %d}' % pointer, "1")
+                await start(f"pointer{pointer}")
+            nursery.cancel_scope.cancel()
+
+    run_with_mock_clock(run)
+
+
+class ListPlatform:
+    """Returns one prepared list after a delay."""
+
+    def __init__(self, listed, delay):
+        self.listed, self.delay = listed, delay
+
+    async def list_instances(self):
+        await trio.sleep(self.delay)
+        return self.listed
+
+
+@then("of lists from the platform and from peers the latest read is in force")
+def check_lists(context):
+    async def run():
+        async with trio.open_nursery() as nursery:
+            network = FakeNetwork(nursery, 1, loss=0.0)
+            nodes = {}
+            for name, time in (("old", 100.0), ("new", 200.0), ("own", 150.0)):
+                listed = InstanceList([make_server(name)], time)
+                node = nodes[name] = network.add(name, None, 1, start=False)
+                node.distribution.platform = ListPlatform(listed, 0.01)
+                await node.distribution.read_list()
+            own = nodes["own"].distribution
+            await own._fetch("old", True)
+            assert own.backends == [make_server("own")]
+            await own._fetch("new", True)
+            assert own.backends == [make_server("new")]
+            # A read that began before the newer list arrived.
+            own.platform.delay = 1.0
+            own.backends, own.listed_at = [make_server("own")], 150.0
+            async with trio.open_nursery() as inner:
+                inner.start_soon(own.read_list)
+                inner.start_soon(own._fetch, "new", True)
+            assert own.backends == [make_server("new")]
+            # A read that begins later wins, also if the platform's clock went back.
+            await own.read_list()
+            assert own.backends == [make_server("own")]
+            nursery.cancel_scope.cancel()
+
+    run_with_mock_clock(run)
+
+
+@then("after an invalid row the list of servers is still read and peers are served")
+def check_invalid_row(context):
+    async def run():
+        async with trio.open_nursery() as nursery:
+            platform = FaultyPlatform(nursery)
+            network = FakeNetwork(nursery, 1, loss=0.0)
+            node = network.add("one", platform, 1)
+            await wait_until_ready([node])
+            await commit_edit(node.distribution, Edit("service", "s", {}, None))
+            bad = {"version": 2, "change_id": "x", "kind": "service", "name": "/"}
+            await platform.store.put_row("config/changes/0000000002", bad, None)
+            platform.store.instances["b1"] = make_server("b1")
+            await trio.sleep(20)
+            assert node.version == 1
+            assert node.distribution.backends == [make_server("b1")]
+            other = network.add("two", platform, 2)
+            platform.down = True
+            await wait_until_ready([other])
+            assert other.version == 1
+            nursery.cancel_scope.cancel()
+
+    run_with_mock_clock(run)
--- /dev/null
+++ b/kumquatsaddle/testing/configuration.py
@@ -0,0 +1,196 @@
+"""Fakes for tests of the configuration: a platform with faults and a peer network."""
+
+import random
+
+import trio
+import trio.testing
+
+from kumquatsaddle.configuration.distribution import Distribution
+from kumquatsaddle.configuration.state import make_configuration
+from kumquatsaddle.dispatch.peers import PeerError
+from kumquatsaddle.exceptions import PlatformUnavailableError
+from kumquatsaddle.metrics import make_metrics
+from kumquatsaddle.platform.memory import MemoryPlatform
+
+__all__ = ["FakeNetwork", "FakeNode", "FaultyPlatform", "run_with_mock_clock"]
+
+
+def run_with_mock_clock(function, *arguments):
+    """Run an async function on a clock that jumps over idle time."""
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    return trio.run(function, *arguments, clock=clock)
+
+
+class FaultyPlatform:
+    """A platform in memory whose calls fail by a seeded generator.
+
+    Parameters
+    ----------
+    nursery : trio.Nursery
+        Runs writes that take effect late.
+    seed : int
+    fault_rate : float
+        Share of the calls that fail: a read without effect, a write before, after or
+        long before its effect, one third each.
+    """
+
+    def __init__(self, nursery, seed=0, fault_rate=0.0):
+        self.store = MemoryPlatform(trio.current_time)
+        self.rng = random.Random(seed)
+        self.fault_rate = fault_rate
+        self.down = False
+        # Seconds before each call is handled, and up to which late effects wait.
+        self.delay = 0.0
+        self.longest_late = 5.0
+        self._nursery = nursery
+
+    def __getattr__(self, name):
+        method = getattr(self.store, name)
+
+        async def call(*arguments):
+            await trio.sleep(self.delay + self.rng.uniform(0.001, 0.02))
+            if self.down:
+                raise PlatformUnavailableError("down")
+            if self.rng.random() >= self.fault_rate:
+                return await method(*arguments)
+            await self._fail(name, method, arguments)
+
+        return call
+
+    async def _fail(self, name, method, arguments):
+        kind = self.rng.choice(("before", "after", "late"))
+        if name.startswith(("put", "write", "delete")):
+            if kind == "after":
+                await self._take_effect(method, arguments, 0)
+            elif kind == "late":
+                delay = self.rng.uniform(0.0, self.longest_late)
+                self._nursery.start_soon(self._take_effect, method, arguments, delay)
+        raise PlatformUnavailableError(f"no reply, {kind}")
+
+    @staticmethod
+    async def _take_effect(method, arguments, delay):
+        await trio.sleep(delay)
+        try:
+            await method(*arguments)
+        except Exception:
+            # The late write found the row taken; nobody waits for its reply.
+            pass
+
+
+class FakeNode:
+    """One in-process instance: a distribution and its heartbeat to random peers."""
+
+    def __init__(self, name, network, platform, seed):
+        self.name = name
+        self.network = network
+        self.isolated = False
+        self.ready_at = None
+        self.versions = []
+        self.distribution = Distribution(
+            make_configuration(),
+            platform,
+            self,
+            make_metrics(),
+            lambda: 10.0,
+            self._note_change,
+            random.Random(seed),
+        )
+        self._rng = random.Random(seed + 1)
+        self._scope = trio.CancelScope()
+
+    @property
+    def version(self):
+        """The version in force."""
+        return self.distribution.version
+
+    def _note_change(self):
+        self.versions.append(self.distribution.version)
+
+    def addresses(self):
+        """Return the names of all other nodes; a name is an address here."""
+        return sorted(set(self.network.nodes) - {self.name})
+
+    def live_members(self):
+        """Return the names of all other nodes and their addresses."""
+        return {name: name for name in self.addresses()}
+
+    def address_of(self, name):
+        """Return the address of a node, or None."""
+        return name if name in self.network.nodes else None
+
+    async def announce(self, count):
+        """Tell random nodes the version."""
+        names = self.addresses()
+        for name in self._rng.sample(names, min(count, len(names))):
+            self.network.send_version(self, name)
+
+    async def fetch(self, address, after, want_backends):
+        """Fetch missing changes from a node."""
+        return await self.network.fetch(self, address, after, want_backends)
+
+    async def run(self):
+        """Run the node until it is killed."""
+        with self._scope:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._beat)
+                await self.distribution.load_first()
+                self.ready_at = trio.current_time()
+                nursery.start_soon(self.distribution.run)
+
+    def kill(self):
+        """End the node at once."""
+        self._scope.cancel()
+
+    async def _beat(self):
+        while True:
+            await self.announce(1)
+            await trio.sleep(self._rng.uniform(0.9, 1.1))
+
+
+class FakeNetwork:
+    """Carries datagrams and fetches between fake nodes, with delay and loss."""
+
+    def __init__(self, nursery, seed=0, loss=0.1):
+        self.nodes = {}
+        self.nursery = nursery
+        self.rng = random.Random(seed)
+        self.loss = loss
+
+    def add(self, name, platform, seed, start=True):
+        """Start a node; one of the same name is replaced."""
+        node = self.nodes[name] = FakeNode(name, self, platform, seed)
+        if start:
+            self.nursery.start_soon(node.run)
+        return node
+
+    def send_version(self, sender, target):
+        """Deliver a datagram with the version of the sender, and its answer."""
+        self.nursery.start_soon(
+            self._deliver, sender.name, sender.version, target, True
+        )
+
+    async def fetch(self, sender, target, after, want_backends):
+        """Return the reply of a node, or raise PeerError."""
+        await trio.sleep(self.rng.uniform(0.001, 0.05))
+        if not self._connects(sender.name, target):
+            await trio.sleep(0.5)
+            raise PeerError(False, "unreachable")
+        peer = self.nodes[target]
+        reply = await peer.distribution.answer_fetch(after, want_backends)
+        await trio.sleep(self.rng.uniform(0.001, 0.05))
+        return reply
+
+    async def _deliver(self, sender, version, target, wants_answer):
+        await trio.sleep(self.rng.uniform(0.001, 0.05))
+        if not self._connects(sender, target):
+            return
+        peer = self.nodes[target]
+        peer.distribution.on_version(sender, version)
+        if wants_answer:
+            await self._deliver(target, peer.version, sender, False)
+
+    def _connects(self, sender, target):
+        ends = [self.nodes.get(sender), self.nodes.get(target)]
+        if None in ends or any(node.isolated for node in ends):
+            return False
+        return self.rng.random() >= self.loss
