Check what the platform replies and test its client against the stand-in

A malformed row or entry of the list raised in the task that read it.

Rows that are no objects count as an unavailable platform, invalid entries of the list are logged and left out, and the list carries the time of its read.

--- a/kumquatsaddle/configuration/transport.py
+++ b/kumquatsaddle/configuration/transport.py
@@ -6,7 +6,7 @@
 from kumquatsaddle.configuration.changes import parse_change
 from kumquatsaddle.dispatch.peers import PeerError
 from kumquatsaddle.exceptions import ConfigurationError
-from kumquatsaddle.platform.interface import ListedInstance
+from kumquatsaddle.platform.interface import parse_instances
 from kumquatsaddle.types import InstanceState
 
 __all__ = [
@@ -171,6 +171,6 @@
     ConfigurationError
     """
     try:
-        return [ListedInstance(**entry) for entry in json.loads(data)]
-    except (ValueError, TypeError, RecursionError):
+        return parse_instances(json.loads(data))
+    except (ValueError, RecursionError):
         raise ConfigurationError("is damaged", "backends") from None
--- a/kumquatsaddle/platform/__init__.py
+++ b/kumquatsaddle/platform/__init__.py
@@ -10,6 +10,7 @@
     Platform,
     Row,
     make_platform,
+    parse_instances,
     platforms,
 )
 from kumquatsaddle.platform.memory import MemoryPlatform, make_memory_platform
@@ -23,5 +24,6 @@
     "make_http_platform",
     "make_memory_platform",
     "make_platform",
+    "parse_instances",
     "platforms",
 ]
--- a/kumquatsaddle/platform/http.py
+++ b/kumquatsaddle/platform/http.py
@@ -21,8 +21,8 @@
 from kumquatsaddle.exceptions import ConflictError, PlatformUnavailableError
 from kumquatsaddle.platform.interface import (
     InstanceList,
-    ListedInstance,
     Row,
+    parse_instances,
     platforms,
 )
 
@@ -55,7 +55,7 @@
         response = await self._call("GET", f"/table/{quote(key)}")
         if response.status == 404:
             return None
-        return Row(key, self._json(response), self._tag(response))
+        return _make_row(key, self._json(response), self._tag(response))
 
     async def put_row(self, key, value, expected_version):
         """Write a row if its version is the expected one."""
@@ -80,7 +80,7 @@
         query = f"?prefix={quote(prefix)}&after={quote(after)}&limit={limit}"
         rows = self._json(await self._call("GET", f"/table{query}"))
         try:
-            return [Row(row["key"], row["value"], row["version"]) for row in rows]
+            return [_make_row(row["key"], row["value"], row["version"]) for row in rows]
         except (TypeError, KeyError) as error:
             raise PlatformUnavailableError(f"/table: {error!r}") from None
 
@@ -97,10 +97,9 @@
         """Return the instances known to the platform."""
         asked_at = time.time()
         response = await self._call("GET", "/instances")
-        entries = self._json(response)
         try:
-            listed = [ListedInstance(**entry) for entry in entries]
-        except TypeError as error:
+            listed = parse_instances(self._json(response))
+        except ValueError as error:
             raise PlatformUnavailableError(f"/instances: {error}") from None
         return InstanceList(listed, _read_date(response, asked_at))
 
@@ -137,6 +136,12 @@
         raise PlatformUnavailableError("the reply has no ETag")
 
 
+def _make_row(key, value, version):
+    if not isinstance(value, dict) or not isinstance(key, str):
+        raise PlatformUnavailableError("the reply is not a row")
+    return Row(key, value, str(version))
+
+
 def _read_date(response, default):
     """Return the time of a reply in seconds since the epoch (RFC 9110, 6.6.1)."""
     for name, value in response.headers:
--- a/kumquatsaddle/platform/interface.py
+++ b/kumquatsaddle/platform/interface.py
@@ -1,9 +1,11 @@
 """The narrow interface to the platform and the registry of its implementations."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, fields
 from typing import Protocol
 
+from kumquatsaddle.logs import log_event
 from kumquatsaddle.registries import Registry
+from kumquatsaddle.settings.parsers import parse_address
 from kumquatsaddle.types import RegionId, ServiceName, ZoneId
 
 __all__ = [
@@ -12,6 +14,7 @@
     "Platform",
     "Row",
     "make_platform",
+    "parse_instances",
     "platforms",
 ]
 
@@ -129,3 +132,45 @@
     Platform
     """
     return platforms.get(settings.get("platform", "kind"))(settings)
+
+
+def parse_instances(entries):
+    """Return the valid entries of a list of instances.
+
+    An invalid entry is logged and left out, so that it takes no other one with it.
+
+    Parameters
+    ----------
+    entries : list of dict
+        JSON values.
+
+    Returns
+    -------
+    list of ListedInstance
+
+    Raises
+    ------
+    ValueError
+        If it is not a list.
+    """
+    if not isinstance(entries, list):
+        raise ValueError("is not a list")
+    listed = []
+    for entry in entries:
+        try:
+            listed.append(_parse_instance(entry))
+        except (TypeError, ValueError) as error:
+            log_event("listed_instance_invalid", level="WARNING", error=error)
+    return listed
+
+
+def _parse_instance(entry):
+    instance = ListedInstance(**entry)
+    for field in fields(ListedInstance):
+        kind = bool if field.name == "leaving" else str
+        if not isinstance(getattr(instance, field.name), kind):
+            raise ValueError(f"{field.name} is not a {kind.__name__}")
+    if not instance.name:
+        raise ValueError("name is empty")
+    parse_address(instance.address)
+    return instance
--- /dev/null
+++ b/kumquatsaddle/platform/tests/steps/platform.py
@@ -0,0 +1,217 @@
+import json
+from contextlib import asynccontextmanager
+from dataclasses import asdict
+from functools import partial
+
+import trio
+from behave import given, then, when
+
+from kumquatsaddle.configuration.changes import commit_change, read_changes
+from kumquatsaddle.exceptions import (
+    ChangeUnknownError,
+    ConflictError,
+    PlatformUnavailableError,
+)
+from kumquatsaddle.platform.http import HttpPlatform
+from kumquatsaddle.platform.interface import ListedInstance, parse_instances
+from kumquatsaddle.platform.memory import MemoryPlatform
+from standins.http import Reply, serve_http
+from standins.platform import PlatformStandin
+
+_HOST = "127.0.33.1"
+_TIMEOUT = 5.0
+
+
+@asynccontextmanager
+async def open_platform(handle, timeout=_TIMEOUT):
+    async with trio.open_nursery() as nursery:
+        listeners = await nursery.start(partial(serve_http, handle, _HOST, 0))
+        port = listeners[0].socket.getsockname()[1]
+        platform = HttpPlatform(f"http://{_HOST}:{port}", timeout)
+        yield platform
+        await platform.close()
+        nursery.cancel_scope.cancel()
+
+
+async def expect(error, function, *arguments):
+    try:
+        await function(*arguments)
+    except error as raised:
+        assert type(raised) is error, raised
+    else:
+        raise AssertionError(f"no {error.__name__}")
+
+
+async def use_everything(platform):
+    """Use each method; return the results that do not depend on the version tags."""
+    first = await platform.put_row("a/1 \u00fc%/?", {"x": 1}, None)
+    await expect(ConflictError, platform.put_row, "a/1 \u00fc%/?", {}, None)
+    second = await platform.put_row("a/1 \u00fc%/?", {"x": 2}, first)
+    await expect(ConflictError, platform.put_row, "a/1 \u00fc%/?", {}, first)
+    await expect(ConflictError, platform.put_row, "a/2", {}, second)
+    await platform.put_row("a/3", {"y": None}, None)
+    await platform.put_row("b/1", {}, None)
+    await platform.write_object("o/1", bytes(range(256)))
+    results = [
+        (await platform.read_row("a/1 \u00fc%/?")).value,
+        await platform.read_row("none"),
+        [row.key for row in await platform.list_rows("a/")],
+        [row.value for row in await platform.list_rows("a/", "a/1 \u00fc%/?", 1)],
+        await platform.read_object("o/1"),
+        await platform.read_object("o/2"),
+        list(await platform.list_instances()),
+    ]
+    await expect(ConflictError, platform.delete_row, "a/3", first)
+    await platform.delete_row("a/1 \u00fc%/?", second)
+    await expect(ConflictError, platform.delete_row, "a/1 \u00fc%/?", second)
+    return [*results, [row.key for row in await platform.list_rows("")]]
+
+
+@then("the memory and the HTTP platform give the same results for rows and objects")
+def check_alike(context):
+    entry = ListedInstance("b", "backend", "s", "127.0.0.1:1", "a", "r", True)
+
+    async def run():
+        memory = MemoryPlatform()
+        memory.instances["b"] = entry
+        standin = PlatformStandin()
+        standin._set_instance(asdict(entry))
+        async with open_platform(standin.handle) as platform:
+            assert await use_everything(platform) == await use_everything(memory)
+            listed = await platform.list_instances()
+            assert abs(listed.read_at - (await memory.list_instances()).read_at) < 60
+
+    trio.run(run)
+
+
+@given("a stand-in of the platform that loses the replies of 2 writes")
+def lose_replies(context):
+    context.faults = {"lose_replies": 2}
+
+
+@when("a change is committed through the HTTP client")
+def commit_with_losses(context):
+    async def run():
+        standin = PlatformStandin()
+        standin.faults.update(context.faults)
+        async with open_platform(standin.handle) as platform:
+            context.change = await commit_change(platform, 0, "service", "s", {})
+            context.log = await read_changes(platform, 0)
+
+    trio.run(run)
+
+
+@then("it is accepted at one version and the log has it once")
+def check_committed(context):
+    assert context.log == [context.change]
+
+
+@given("a stand-in of the platform that handles calls 0.4 seconds late")
+def delay_calls(context):
+    context.faults = {"delay": 0.4}
+
+
+@when("a change is committed with a limit of 0.1 seconds for each call")
+def commit_with_delay(context):
+    async def run():
+        standin = PlatformStandin()
+        standin.faults.update(context.faults)
+        async with open_platform(standin.handle, 0.1) as platform:
+            commit = partial(commit_change, platform, 0, "service", "s", {})
+            try:
+                await commit(change_id="mine")
+                context.first = None
+            except ChangeUnknownError as error:
+                context.first = error
+            standin.faults["delay"] = 0.0
+            context.second = await commit(change_id="mine")
+            await trio.sleep(1.0)
+            context.log = await read_changes(platform, 0)
+
+    trio.run(run)
+
+
+@then("its result is unknown and asking again finds it accepted once")
+def check_asked_again(context):
+    assert "change id mine" in str(context.first)
+    assert [change.change_id for change in context.log] == ["mine"]
+    assert context.second.version == 1
+
+
+@given("a stand-in of the platform that refuses every call")
+def refuse_calls(context):
+    context.faults = {"down": True}
+
+
+def list_calls(platform):
+    return [
+        partial(platform.read_row, "k"),
+        partial(platform.put_row, "k", {}, None),
+        partial(platform.delete_row, "k", "1"),
+        partial(platform.list_rows, "k"),
+        partial(platform.read_object, "k"),
+        partial(platform.write_object, "k", b"x"),
+        platform.list_instances,
+    ]
+
+
+@then("every method of the HTTP client raises the error of an unavailable platform")
+def check_unavailable(context):
+    async def run():
+        standin = PlatformStandin()
+        standin.faults.update(context.faults)
+        async with open_platform(standin.handle) as platform:
+            for call in list_calls(platform):
+                await expect(PlatformUnavailableError, call)
+        # Nobody listens any more.
+        for call in list_calls(platform):
+            await expect(PlatformUnavailableError, call)
+
+    trio.run(run)
+
+
+@then("hostile replies raise the error of an unavailable platform")
+def check_hostile_replies(context):
+    replies = [
+        Reply(200, b"<html>"),
+        Reply(200, b"[" * 100000),
+        Reply(200, b'{"a": 1}'),
+        Reply(200, b"[1, null]"),
+        Reply(200, b'[{"key": 1}]'),
+        Reply(500, b"{}"),
+        Reply(302, b""),
+        Reply(403, b""),
+        Reply(200, b'{"whole": "but cut"}', cut=True),
+    ]
+
+    async def run():
+        for reply in replies:
+
+            async def handle(method, target, headers, body, reply=reply):
+                return reply
+
+            async with open_platform(handle) as platform:
+                calls = list_calls(platform)
+                for call in (calls[0], calls[1], calls[3]):
+                    await expect(PlatformUnavailableError, call)
+                if reply.body != b"[1, null]" and reply.body != b'[{"key": 1}]':
+                    await expect(PlatformUnavailableError, platform.list_instances)
+
+    trio.run(run)
+
+
+@then("invalid entries are left out and the others are returned")
+def check_entries(context):
+    good = asdict(ListedInstance("b", "backend", "s", "127.0.0.1:1", "a", "r"))
+    bad = [
+        None,
+        5,
+        {},
+        {**good, "address": "somewhere:1"},
+        {**good, "address": 5},
+        {**good, "leaving": "no"},
+        {**good, "name": ""},
+        {**good, "more": 1},
+    ]
+    listed = parse_instances(json.loads(json.dumps([*bad, good])))
+    assert listed == [ListedInstance(**good)]
