--- a/kumquatsaddle/configuration/tests/commits.feature
+++ b/kumquatsaddle/configuration/tests/commits.feature
@@ -37,3 +37,8 @@
     Given a configuration with 2 accounts that two operators have read
     When the platform is down
     Then a first attempt is answered not written and a repeated one unknown
+
+  Scenario: The late write arrives while the edit is being withdrawn
+    # Guards against "not written" for a change that arrived at the last moment.
+    Given a platform on which a late write arrives just before the withdrawal
+    Then the withdrawal answers that the edit was accepted
--- a/kumquatsaddle/configuration/tests/distribution.feature
+++ b/kumquatsaddle/configuration/tests/distribution.feature
@@ -37,3 +37,22 @@
   Scenario: A log row that is no change stops the log but not the list
     # Guards against an invalid row that stops all reads of the platform.
     Then after an invalid row the list of servers is still read and peers are served
+
+  Scenario: A stale reply of a peer
+    # Guards against a version that goes down when a peer hands over an old snapshot.
+    Given an instance with 450 changes
+    Then a reply with an old snapshot and old changes leaves it as it was
+
+  Scenario: A starting instance knows of a higher version that it cannot fetch
+    # Guards against a start with an older configuration than was accepted.
+    Given 3 instances at version 1 and one at version 2 that cannot be reached
+    When the platform fails and an instance starts that has heard of version 2
+    Then it becomes ready only when version 2 can be fetched
+
+  Scenario: A peer that is itself starting
+    # Guards against a start from a peer that has read a list but no configuration.
+    Then a reply of a peer that is not ready does not make an instance ready
+
+  Scenario: A snapshot with another version in its head
+    # Guards against a configuration that takes a version which it does not have.
+    Then a snapshot whose head was changed is refused by its digest
--- a/kumquatsaddle/configuration/tests/steps/commits.py
+++ b/kumquatsaddle/configuration/tests/steps/commits.py
@@ -1,9 +1,10 @@
 import random
+from dataclasses import asdict
 
 import trio
 from behave import given, then, when
 
-from kumquatsaddle.configuration.changes import read_changes
+from kumquatsaddle.configuration.changes import Change, change_key, read_changes
 from kumquatsaddle.configuration.commits import Edit, commit_edit, withdraw_edit
 from kumquatsaddle.exceptions import (
     ChangeNotWrittenError,
@@ -338,3 +339,29 @@
                     assert type(error) is kind
 
     run_with_mock_clock(run)
+
+
+@given("a platform on which a late write arrives just before the withdrawal")
+def describe_race(context):
+    context.edits = [("service", "s", {})]
+
+
+@then("the withdrawal answers that the edit was accepted")
+def check_race(context):
+    async def run():
+        async with trio.open_nursery() as nursery:
+            node, platform = await make_filled_node(context, nursery)
+            store, put_row = platform.store, platform.store.put_row
+            mine = Change(2, "mine", "service", "t", {})
+
+            async def put_after_late_write(*arguments):
+                store.put_row = put_row
+                await put_row(change_key(2), asdict(mine), None)
+                return await put_row(*arguments)
+
+            store.put_row = put_after_late_write
+            change = await withdraw_edit(node.distribution, "service", "t", "mine")
+            assert change == mine
+            assert await read_changes(store, 1) == [mine]
+
+    run_with_mock_clock(run)
--- a/kumquatsaddle/configuration/tests/steps/distribution.py
+++ b/kumquatsaddle/configuration/tests/steps/distribution.py
@@ -5,8 +5,15 @@
 
 from kumquatsaddle.configuration.changes import parse_change
 from kumquatsaddle.configuration.commits import Edit, commit_edit
+from kumquatsaddle.configuration.snapshots import decode_snapshot, encode_snapshot
+from kumquatsaddle.configuration.state import make_configuration
+from kumquatsaddle.configuration.transport import ChangesReply, dump_change
 from kumquatsaddle.configuration.values import dump_entity
-from kumquatsaddle.exceptions import ConflictError, PlatformError
+from kumquatsaddle.exceptions import (
+    ConfigurationError,
+    ConflictError,
+    PlatformError,
+)
 from kumquatsaddle.platform.interface import InstanceList, ListedInstance
 from kumquatsaddle.testing.configuration import (
     FakeNetwork,
@@ -382,3 +389,95 @@
             nursery.cancel_scope.cancel()
 
     run_with_mock_clock(run)
+
+
+@then("a reply with an old snapshot and old changes leaves it as it was")
+def check_stale_reply(context):
+    async def run():
+        async with trio.open_nursery() as nursery:
+            platform, network, node = await make_long_log(context, nursery)
+            wanted = dump_all(node.distribution.configuration)
+            rows = await platform.store.list_rows("config/changes/")
+            entries = tuple(dump_change(parse_change(row.value)) for row in rows[:120])
+            data = platform.store.objects["config/snapshots/0000000100"]
+            reply = ChangesReply(120, True, entries, data)
+            await node.distribution._apply_reply(reply)
+            assert node.version == context.changes
+            assert dump_all(node.distribution.configuration) == wanted
+            nursery.cancel_scope.cancel()
+
+    run_with_mock_clock(run)
+
+
+@given("3 instances at version 1 and one at version 2 that cannot be reached")
+def describe_hidden_version(context):
+    context.names = ["n0", "n1", "n2", "ahead"]
+
+
+@when("the platform fails and an instance starts that has heard of version 2")
+def start_with_hidden_version(context):
+    async def run():
+        async with trio.open_nursery() as nursery:
+            platform = FaultyPlatform(nursery)
+            network = FakeNetwork(nursery, 1, loss=0.0)
+            nodes = [network.add(name, platform, 1) for name in context.names]
+            await wait_until_ready(nodes)
+            ahead = nodes[-1]
+            await commit_edit(nodes[0].distribution, Edit("service", "s", {}, None))
+            await trio.sleep(2)
+            ahead.isolated = True
+            await commit_edit(ahead.distribution, Edit("service", "t", {}, None))
+            platform.down = True
+            new = network.add("new", platform, 5)
+            new.distribution.on_version("ahead", 2)
+            await trio.sleep(30)
+            context.before = new.ready_at, new.version
+            ahead.isolated = False
+            await trio.sleep(15)
+            context.after = new.ready_at, new.version
+            nursery.cancel_scope.cancel()
+
+    run_with_mock_clock(run)
+
+
+@then("it becomes ready only when version 2 can be fetched")
+def check_hidden_version(context):
+    assert context.before == (None, 1)
+    assert context.after[0] is not None and context.after[1] == 2
+
+
+@then("a reply of a peer that is not ready does not make an instance ready")
+def check_starting_peer(context):
+    async def run():
+        async with trio.open_nursery() as nursery:
+            platform = FaultyPlatform(nursery)
+            platform.down = True
+            network = FakeNetwork(nursery, 1, loss=0.0)
+            peer = network.add("peer", platform, 1, start=False)
+            peer.distribution._set_backends([make_server("b")], 1.0)
+            new = network.add("new", platform, 2)
+            await trio.sleep(30)
+            assert new.ready_at is None
+            peer.distribution.ready = True
+            await trio.sleep(15)
+            assert new.ready_at is not None
+            nursery.cancel_scope.cancel()
+
+    run_with_mock_clock(run)
+
+
+@then("a snapshot whose head was changed is refused by its digest")
+def check_head(context):
+    async def run():
+        configuration = make_configuration()
+        configuration.version = 400
+        data = await encode_snapshot(configuration)
+        assert (await decode_snapshot(data)).version == 400
+        try:
+            await decode_snapshot(data.replace(b": 400", b": 500", 1))
+        except ConfigurationError as error:
+            assert "digest" in str(error)
+        else:
+            raise AssertionError("accepted")
+
+    trio.run(run)
