--- a/kumquatsaddle/commands/client.py
+++ b/kumquatsaddle/commands/client.py
@@ -25,6 +25,7 @@
 _REPLY_TIMEOUT = 30.0
 # Rounds over all addresses while the result of a change is not known.
 _ROUNDS = 2
+_REASONS = {reason.value for reason in RefusalReason}
 
 
 class OperatorsClient:
@@ -189,6 +190,8 @@
         raise ChangeNotWrittenError(text)
     if response.status in (401, 403):
         raise RefusedError(RefusalReason.UNAUTHORIZED, text)
+    if value.get("reason") in _REASONS:
+        raise RefusedError(RefusalReason(value["reason"]), text)
     if response.status >= 500:
         raise _NoReplyError(f"{address}: status {response.status}", True)
     raise ConfigurationError(text, value.get("field"))
--- a/kumquatsaddle/entry/operators.py
+++ b/kumquatsaddle/entry/operators.py
@@ -141,7 +141,7 @@
             try:
                 return _json_reply(200, explain_request(self._node, query))
             except RefusedError as error:
-                value = {"error": str(error), "reason": error.reason.value}
+                value = {"error": error.detail, "reason": error.reason.value}
                 return _json_reply(404, value)
         request = ApiRequest(method, segments, query, headers, body)
         reply = await answer_api(self._node.distribution, request)
