Count every refusal and retry of the configuration by its reason

Retries and refusals of the configuration had counters without an Enum.

Adds ConfigurationRetry and OperatorRefusal; the log is applied page by page, so that a long one is not held in memory and a row that is no change hides none before it.

--- a/kumquatsaddle/configuration/api.py
+++ b/kumquatsaddle/configuration/api.py
@@ -26,6 +26,7 @@
     ConflictError,
     PlatformError,
 )
+from kumquatsaddle.types import OperatorRefusal
 
 __all__ = ["ApiRequest", "ApiReply", "answer_api", "diff_values"]
 
@@ -97,15 +98,19 @@
     ApiReply
     """
     try:
-        return await _dispatch(distribution, request)
+        reply = await _dispatch(distribution, request)
     except ConfigurationError as error:
-        return _refuse(400, "invalid", error.problem, error.field)
+        reply = _refuse(400, OperatorRefusal.INVALID, error.problem, error.field)
     except ConflictError as error:
-        return _refuse(409, "conflict", str(error))
+        reply = _refuse(409, OperatorRefusal.CONFLICT, str(error))
     except ChangeUnknownError as error:
-        return _refuse(504, "unknown", str(error))
+        reply = _refuse(504, OperatorRefusal.UNKNOWN, str(error))
     except PlatformError as error:
-        return _refuse(503, "not-written", str(error))
+        reply = _refuse(503, OperatorRefusal.NOT_WRITTEN, str(error))
+    if reply.status >= 400:
+        reason = reply.value.get("outcome", OperatorRefusal.INVALID.value)
+        distribution.metrics.count("operator_refusals", reason=reason)
+    return reply
 
 
 def diff_values(old, new, place=""):
@@ -143,8 +148,8 @@
             allowed.add(method)
     if allowed:
         listed = ", ".join(sorted(allowed))
-        return _refuse(405, "invalid", f"allowed: {listed}", "method")
-    return _refuse(404, "invalid", "no such resource", "path")
+        return _refuse(405, OperatorRefusal.INVALID, f"allowed: {listed}", "method")
+    return _refuse(404, OperatorRefusal.INVALID, "no such resource", "path")
 
 
 def _matches(pattern, segments):
@@ -293,14 +298,18 @@
 
 async def _set_drain(distribution, request, name, value):
     """Drain or undrain, whatever the version of the entity is."""
+    # The list of backend servers lags, so a server that is not in it may be drained.
+    listed = any(entry.name == name for entry in distribution.backends or ())
     for attempt in range(_DRAIN_ATTEMPTS):
         configuration = distribution.configuration
         if (name in configuration.drains) == (value is not None):
-            return ApiReply(200, {"outcome": "accepted", "changed": False})
+            value = {"outcome": "accepted", "changed": False, "listed": listed}
+            return ApiReply(200, value)
         expected = configuration.version_of("drain", name)
         edit = _make_edit(request, "drain", name, value, expected)
         try:
-            return _accepted(await commit_edit(distribution, edit))
+            reply = _accepted(await commit_edit(distribution, edit))
+            return ApiReply(200, {**reply.value, "listed": listed})
         except ConflictError:
             if attempt + 1 == _DRAIN_ATTEMPTS:
                 raise
@@ -351,7 +360,8 @@
 
 
 def _refuse(status, outcome, error, place=None):
-    return ApiReply(status, {"outcome": outcome, "error": error, "field": place})
+    value = {"outcome": outcome.value, "error": error, "field": place}
+    return ApiReply(status, value)
 
 
 def _value_at(changes, version):
--- a/kumquatsaddle/configuration/changes.py
+++ b/kumquatsaddle/configuration/changes.py
@@ -30,12 +30,14 @@
 
 __all__ = [
     "Change",
+    "PAGE_ROWS",
     "change_key",
     "commit_change",
     "make_change_id",
     "parse_change",
     "read_change",
     "read_changes",
+    "read_page",
     "seed_changes",
     "withdraw_change",
 ]
@@ -45,7 +47,8 @@
 _VERSION_DIGITS = 10
 # Pauses in seconds before the second and later attempts of a write without a reply.
 _PAUSES = (0.05, 0.3, 1.0)
-_PAGE_ROWS = 500
+# Rows of the log in one read of the table.
+PAGE_ROWS = 500
 # Text of a settings file that stands for itself without quotes.
 _WORD = re.compile(r"[A-Za-z_][A-Za-z0-9_.-]*\Z")
 _LONGEST_CHANGE_ID = 64
@@ -106,6 +109,7 @@
     time=0.0,
     change_id=None,
     previous=0,
+    on_retry=lambda: None,
 ):
     """Write the change that follows `base_version`.
 
@@ -123,6 +127,8 @@
         Id of the attempt; a repeated attempt has the same one. Default: random.
     previous : int, default=0
         Version of the change of the same entity before this one.
+    on_retry : callable, optional
+        Called before each repetition of a write without a reply.
 
     Returns
     -------
@@ -153,7 +159,7 @@
         time,
         previous,
     )
-    return await _write_change(platform, change)
+    return await _write_change(platform, change, on_retry)
 
 
 async def withdraw_change(platform, base_version, change_id, *, operator="", time=0.0):
@@ -194,7 +200,7 @@
         raise ChangeUnknownError(str(error)) from None
 
 
-async def _write_change(platform, change):
+async def _write_change(platform, change, on_retry=lambda: None):
     """Write a change put-if-absent until it is known who has the version."""
     for pause in (*_PAUSES, None):
         try:
@@ -211,6 +217,7 @@
                 return written
             raise ConflictError(f"version {change.version} has another change")
         if pause is not None:
+            on_retry()
             await trio.sleep(pause)
     raise ChangeUnknownError(
         f"no answer about version {change.version}; ask again with change id "
@@ -232,20 +239,38 @@
 
 
 async def read_changes(platform, after):
-    """Return the changes above version `after`, in order and without a gap."""
+    """Return all changes above version `after`, in order and without a gap."""
     changes = []
     while True:
-        key = change_key(after + len(changes))
-        rows = await platform.list_rows(_PREFIX, key, _PAGE_ROWS)
-        for row in rows:
-            change = parse_change(row.value)
-            if change.version != after + len(changes) + 1:
-                return changes
-            changes.append(change)
-        if len(rows) < _PAGE_ROWS:
+        page = await read_page(platform, after + len(changes))
+        changes += page
+        if len(page) < PAGE_ROWS:
             return changes
 
 
+async def read_page(platform, after):
+    """Return the first `PAGE_ROWS` changes above version `after`.
+
+    Raises
+    ------
+    ConfigurationError
+        If the first row is no change. Another such row ends the page.
+    PlatformUnavailableError
+    """
+    changes = []
+    for row in await platform.list_rows(_PREFIX, change_key(after), PAGE_ROWS):
+        try:
+            change = parse_change(row.value)
+        except ConfigurationError:
+            if changes:
+                break
+            raise
+        if change.version != after + len(changes) + 1:
+            break
+        changes.append(change)
+    return changes
+
+
 def parse_change(value):
     """Return the change of a row's value.
 
--- a/kumquatsaddle/configuration/commits.py
+++ b/kumquatsaddle/configuration/commits.py
@@ -12,6 +12,7 @@
 
 import time
 from dataclasses import dataclass
+from functools import partial
 
 from kumquatsaddle.configuration.changes import (
     check_change_id,
@@ -30,6 +31,7 @@
     ConflictError,
     PlatformUnavailableError,
 )
+from kumquatsaddle.types import ConfigurationRetry
 
 __all__ = ["Edit", "check_edit", "commit_edit", "read_history", "withdraw_edit"]
 
@@ -93,6 +95,9 @@
     """
     check_change_id(edit.change_id or None)
     change_id = edit.change_id or make_change_id()
+    count_unanswered = partial(
+        distribution.count_retry, ConfigurationRetry.WRITE_UNANSWERED
+    )
     for _ in range(_MOST_ATTEMPTS):
         earlier = await _read_and_find(distribution, edit, change_id)
         if earlier is not None:
@@ -110,9 +115,11 @@
                 time=clock(),
                 change_id=change_id,
                 previous=configuration.version_of(edit.kind, edit.name),
+                on_retry=count_unanswered,
             )
         except ConflictError:
             # Another change has this version; the next loop reads it.
+            distribution.count_retry(ConfigurationRetry.VERSION_TAKEN)
             continue
         await _put_in_force(distribution, change)
         return change
--- a/kumquatsaddle/configuration/distribution.py
+++ b/kumquatsaddle/configuration/distribution.py
@@ -14,7 +14,7 @@
 
 import trio
 
-from kumquatsaddle.configuration.changes import read_changes
+from kumquatsaddle.configuration.changes import PAGE_ROWS, read_page
 from kumquatsaddle.configuration.history import History
 from kumquatsaddle.configuration.snapshots import (
     decode_snapshot,
@@ -30,6 +30,7 @@
 from kumquatsaddle.dispatch.peers import PeerError
 from kumquatsaddle.exceptions import ConfigurationError, PlatformError
 from kumquatsaddle.logs import log_event
+from kumquatsaddle.types import ConfigurationRetry
 
 __all__ = ["Distribution", "make_distribution"]
 
@@ -87,7 +88,7 @@
         self._highest_heard = 0
         self._behind_since = None
         self.transport = transport
-        self._metrics = metrics
+        self.metrics = metrics
         self._poll_interval = poll_interval
         self._on_change = on_change
         self._rng = rng or random.Random()
@@ -145,8 +146,14 @@
         PlatformError
         ConfigurationError
         """
-        changes = await read_changes(self.platform, self.version)
-        if self.apply_changes(_drop_known(changes, self.version)):
+        before = self.version
+        while True:
+            after = self.version
+            changes = await read_page(self.platform, after)
+            self.apply_changes(_drop_known(changes, self.version))
+            if len(changes) < PAGE_ROWS or self.version == after:
+                break
+        if self.version > before:
             await self.announce()
 
     async def read_list(self):
@@ -181,7 +188,7 @@
             if platform_read or (peer_read and caught_up):
                 if self.backends is not None:
                     break
-            self._metrics.count("configuration_start_retries")
+            self.count_retry(ConfigurationRetry.START_INCOMPLETE)
             await trio.sleep(pause * self._rng.uniform(0.5, 1.5))
             pause = min(_LONGEST_PAUSE, 2 * pause)
         self.ready = True
@@ -210,6 +217,10 @@
             self.version, self.ready, entries, snapshot, backends, listed_at
         )
 
+    def count_retry(self, reason):
+        """Count a `ConfigurationRetry`."""
+        self.metrics.count("configuration_retries", reason=reason.value)
+
     def note_snapshot_due(self):
         """Write a snapshot of the version in force to the object store soon."""
         self._due_snapshot = self.configuration.copy()
@@ -243,7 +254,7 @@
                 await self.read_list()
                 done.append(True)
             except (PlatformError, ConfigurationError) as error:
-                self._metrics.count("platform_reads_failed")
+                self.metrics.count("platform_reads_failed")
                 log_event("platform_read_failed", level="WARNING", error=error)
 
     async def _read_snapshot(self):
@@ -270,7 +281,7 @@
             reply = await self.transport.fetch(address, self.version, want_backends)
             await self._apply_reply(reply)
         except (PeerError, ConfigurationError) as error:
-            self._metrics.count("configuration_fetches_failed")
+            self.metrics.count("configuration_fetches_failed")
             log_event("fetch_failed", level="DEBUG", peer=address, error=error)
             return None
         return reply
@@ -305,7 +316,7 @@
                 if self.version > before:
                     pause = _SHORTEST_PAUSE
                     continue
-                self._metrics.count("configuration_fetches_repeated")
+                self.count_retry(ConfigurationRetry.FETCH_FAILED)
                 await trio.sleep(pause * self._rng.uniform(0.5, 1.5))
                 pause = min(_LONGEST_PAUSE, 2 * pause)
 
@@ -334,7 +345,7 @@
         try:
             await read()
         except (PlatformError, ConfigurationError) as error:
-            self._metrics.count("platform_reads_failed")
+            self.metrics.count("platform_reads_failed")
             log_event("platform_read_failed", level="WARNING", error=error)
 
     async def _write_snapshots(self):
@@ -343,9 +354,9 @@
             self._snapshot_wake = trio.Event()
             try:
                 await write_snapshot(self.platform, self._due_snapshot)
-                self._metrics.count("snapshots_written")
+                self.metrics.count("snapshots_written")
             except PlatformError as error:
-                self._metrics.count("snapshots_failed")
+                self.metrics.count("snapshots_failed")
                 log_event("snapshot_failed", level="WARNING", error=error)
             self._due_snapshot = None
 
--- a/kumquatsaddle/entry/operators.py
+++ b/kumquatsaddle/entry/operators.py
@@ -19,7 +19,7 @@
 from kumquatsaddle.entry.status import describe_status, explain_request
 from kumquatsaddle.exceptions import RefusedError, SettingsError
 from kumquatsaddle.settings.files import read_secret
-from kumquatsaddle.types import InstanceState
+from kumquatsaddle.types import InstanceState, OperatorRefusal
 
 __all__ = ["OperatorsServer", "make_operators_server"]
 
@@ -91,6 +91,7 @@
             return
         body = await _read_body(receive)
         if body is None:
+            self._count_refusal(OperatorRefusal.TOO_LARGE)
             reply = _json_reply(413, {"error": f"is above {_MAX_BODY} bytes"})
         else:
             reply = await self._answer(scope, body)
@@ -136,6 +137,7 @@
 
     async def _answer_api(self, method, segments, query, headers, body):
         if not self._node.distribution.ready:
+            self._count_refusal(OperatorRefusal.NOT_WRITTEN)
             return _json_reply(503, {"outcome": "not-written", "error": "not ready"})
         if segments == ("explain",) and method == "GET":
             try:
@@ -150,14 +152,18 @@
     def _check_token(self, headers, path, method):
         """Return a refusal, or None if the request may pass."""
         if self._token is None:
+            self._count_refusal(OperatorRefusal.NO_TOKEN)
             value = {"error": "no operator_token_file in the settings"}
             return _json_reply(403, value)
         given = _read_token(headers, path in _PAGES and method in ("GET", "HEAD"))
         if given is not None and hmac.compare_digest(given, self._token):
             return None
-        self._node.metrics.count("operator_requests_unauthorized")
+        self._count_refusal(OperatorRefusal.UNAUTHORIZED)
         return _json_reply(401, {"error": "the token is missing or wrong"})
 
+    def _count_refusal(self, reason):
+        self._node.metrics.count("operator_refusals", reason=reason.value)
+
 
 def make_operators_server(node):
     """Return the operators' server of a node; see `OperatorsServer`."""
--- a/kumquatsaddle/types.py
+++ b/kumquatsaddle/types.py
@@ -24,6 +24,8 @@
     "Outcome",
     "RefusalReason",
     "RetryReason",
+    "ConfigurationRetry",
+    "OperatorRefusal",
     "BackendState",
     "InstanceState",
 ]
@@ -107,6 +109,27 @@
     PEER_LOST = "peer_lost"
 
 
+class ConfigurationRetry(Enum):
+    """Why a read or a write of the configuration was done again."""
+
+    START_INCOMPLETE = "start_incomplete"
+    FETCH_FAILED = "fetch_failed"
+    VERSION_TAKEN = "version_taken"
+    WRITE_UNANSWERED = "write_unanswered"
+
+
+class OperatorRefusal(Enum):
+    """Why a request of an operator was not done."""
+
+    INVALID = "invalid"
+    CONFLICT = "conflict"
+    NOT_WRITTEN = "not-written"
+    UNKNOWN = "unknown"
+    UNAUTHORIZED = "unauthorized"
+    NO_TOKEN = "no-token"
+    TOO_LARGE = "too-large"
+
+
 class BackendState(Enum):
     """State of a backend server at its home instance."""
 
