--- a/kumquatsaddle/configuration/commits.py
+++ b/kumquatsaddle/configuration/commits.py
@@ -103,11 +103,12 @@
         if earlier is not None:
             return earlier
         configuration = distribution.configuration
+        base = configuration.version
         check_edit(configuration, edit)
         try:
             change = await commit_change(
                 distribution.platform,
-                configuration.version,
+                base,
                 edit.kind,
                 edit.name,
                 edit.value,
@@ -209,7 +210,7 @@
 async def _read_and_find(distribution, edit, change_id):
     """Read the table and return the change of an earlier attempt, or None."""
     try:
-        await distribution.read_table()
+        await _read_log(distribution)
         version = distribution.configuration.version_of(edit.kind, edit.name)
         # A repeated edit may name a version that it has itself made.
         if not edit.repeated and version <= (edit.expected or 0):
@@ -224,6 +225,25 @@
     return next((one for one in changes if one.change_id == change_id), None)
 
 
+async def _read_log(distribution):
+    """Read the table and check that its log ends with the version in force.
+
+    A table that was restored from a backup may end below it. A change written behind
+    the gap would never reach an instance that starts from the table.
+    """
+    await distribution.read_table()
+    while (version := distribution.version) > 0:
+        last = await read_change(distribution.platform, version)
+        known = distribution.history.find(version)
+        if version != distribution.version:
+            continue
+        if last is None or (known and known.change_id != last.change_id):
+            raise PlatformUnavailableError(
+                f"its log does not have the change of version {version} in force"
+            )
+        return
+
+
 async def _put_in_force(distribution, change):
     if change.version == distribution.version + 1:
         distribution.apply_changes([change])
--- a/kumquatsaddle/configuration/tests/commits.feature
+++ b/kumquatsaddle/configuration/tests/commits.feature
@@ -42,3 +42,8 @@
     # Guards against "not written" for a change that arrived at the last moment.
     Given a platform on which a late write arrives just before the withdrawal
     Then the withdrawal answers that the edit was accepted
+
+  Scenario: The platform's table was restored from a backup
+    # Guards against a change behind a gap, which no starting instance would read.
+    Given a configuration with 2 accounts that two operators have read
+    Then without the last row edits and withdrawals write nothing until it is back
--- a/kumquatsaddle/configuration/tests/distribution.feature
+++ b/kumquatsaddle/configuration/tests/distribution.feature
@@ -56,3 +56,11 @@
   Scenario: A snapshot with another version in its head
     # Guards against a configuration that takes a version which it does not have.
     Then a snapshot whose head was changed is refused by its digest
+
+  Scenario: A long log without any snapshot
+    # Guards against a start that reads only the first page or holds the whole log.
+    Then an instance starts from 1700 rows of the table
+
+  Scenario: A changing list of backend servers and drains
+    # Guards against a list that is read once and never again.
+    Then a server that leaves the list is gone after the next reads of the platform
--- a/kumquatsaddle/configuration/tests/steps/commits.py
+++ b/kumquatsaddle/configuration/tests/steps/commits.py
@@ -365,3 +365,32 @@
             assert await read_changes(store, 1) == [mine]
 
     run_with_mock_clock(run)
+
+
+@then("without the last row edits and withdrawals write nothing until it is back")
+def check_restored(context):
+    async def run():
+        async with trio.open_nursery() as nursery:
+            node, platform = await make_filled_node(context, nursery)
+            rows = platform.store.rows
+            last = rows.pop(change_key(4))
+            edit = Edit("service", "new", {}, None, "mine")
+            for replaced in (None, '{"version": 4, "change_id": "x", "kind": "none"'):
+                if replaced:
+                    text = replaced + ', "name": "", "value": null}'
+                    rows[change_key(4)] = (text, "1")
+                try:
+                    await commit_edit(node.distribution, edit)
+                    raise AssertionError("accepted")
+                except ChangeNotWrittenError as error:
+                    assert "version 4" in str(error)
+                try:
+                    await withdraw_edit(node.distribution, "service", "new", "mine")
+                    raise AssertionError("accepted")
+                except ChangeUnknownError:
+                    pass
+                assert change_key(5) not in rows and node.version == 4
+            rows[change_key(4)] = last
+            assert (await commit_edit(node.distribution, edit)).version == 5
+
+    run_with_mock_clock(run)
--- a/kumquatsaddle/configuration/tests/steps/distribution.py
+++ b/kumquatsaddle/configuration/tests/steps/distribution.py
@@ -1,9 +1,10 @@
+import json
 import random
 
 import trio
 from behave import given, then, when
 
-from kumquatsaddle.configuration.changes import parse_change
+from kumquatsaddle.configuration.changes import Change, change_key, parse_change
 from kumquatsaddle.configuration.commits import Edit, commit_edit
 from kumquatsaddle.configuration.snapshots import decode_snapshot, encode_snapshot
 from kumquatsaddle.configuration.state import make_configuration
@@ -386,6 +387,11 @@
             platform.down = True
             await wait_until_ready([other])
             assert other.version == 1
+            # A lonely instance reads the rows before the invalid one.
+            platform.down = False
+            lonely = FakeNetwork(nursery, 3, loss=0.0).add("three", platform, 3)
+            await wait_until_ready([lonely])
+            assert lonely.version == 1
             nursery.cancel_scope.cancel()
 
     run_with_mock_clock(run)
@@ -481,3 +487,38 @@
             raise AssertionError("accepted")
 
     trio.run(run)
+
+
+@then("an instance starts from 1700 rows of the table")
+def check_long_log(context):
+    async def run():
+        async with trio.open_nursery() as nursery:
+            platform = FaultyPlatform(nursery)
+            for version in range(1, 1701):
+                change = Change(version, f"c{version}", "service", f"s{version}", {})
+                value = json.loads(dump_change(change))
+                await platform.store.put_row(change_key(version), value, None)
+            node = FakeNetwork(nursery, 1).add("one", platform, 1)
+            await wait_until_ready([node])
+            assert node.version == len(node.distribution.configuration.services) == 1700
+            nursery.cancel_scope.cancel()
+
+    run_with_mock_clock(run)
+
+
+@then("a server that leaves the list is gone after the next reads of the platform")
+def check_changing_list(context):
+    async def run():
+        async with trio.open_nursery() as nursery:
+            platform = FaultyPlatform(nursery)
+            platform.store.instances["b1"] = make_server("b1")
+            platform.store.instances["b2"] = make_server("b2")
+            node = FakeNetwork(nursery, 1).add("one", platform, 1)
+            await wait_until_ready([node])
+            del platform.store.instances["b1"]
+            # The poll interval is 10 s with a jitter of up to half of it.
+            await trio.sleep(16)
+            assert node.distribution.backends == [make_server("b2")]
+            nursery.cancel_scope.cancel()
+
+    run_with_mock_clock(run)
--- a/kumquatsaddle/entry/operators.py
+++ b/kumquatsaddle/entry/operators.py
@@ -26,7 +26,8 @@
 # Longest request body in bytes; a template of 50 routes has about 6 KB.
 _MAX_BODY = 1 << 20
 _GRACEFUL_TIMEOUT = 1.0
-_KEEP_ALIVE_TIMEOUT = 30.0
+# Limit in seconds for the next byte of a request, on an idle connection too.
+_READ_TIMEOUT = 30.0
 _API_PREFIX = "/api/v1/"
 _READY_STATES = (InstanceState.ALIVE, InstanceState.IMPAIRED)
 # Pages that a browser may open with basic authentication. None of them changes
@@ -68,7 +69,7 @@
         config.bind = [str(address)]
         config.accesslog = config.errorlog = None
         config.graceful_timeout = _GRACEFUL_TIMEOUT
-        config.keep_alive_timeout = _KEEP_ALIVE_TIMEOUT
+        config.keep_alive_timeout = config.read_timeout = _READ_TIMEOUT
         config.include_server_header = False
         try:
             await hypercorn.trio.serve(
--- a/kumquatsaddle/lifecycle/node.py
+++ b/kumquatsaddle/lifecycle/node.py
@@ -6,6 +6,7 @@
 
 import secrets
 import time
+from dataclasses import asdict
 
 import trio
 
@@ -14,7 +15,7 @@
 from kumquatsaddle.addresses.homes import HomeCandidate
 from kumquatsaddle.addresses.placement import make_placement
 from kumquatsaddle.admission.limits import make_limits
-from kumquatsaddle.configuration.changes import seed_changes
+from kumquatsaddle.configuration.changes import change_key, seed_changes
 from kumquatsaddle.configuration.distribution import make_distribution
 from kumquatsaddle.configuration.state import make_configuration
 from kumquatsaddle.configuration.transport import GossipTransport
@@ -24,6 +25,7 @@
 from kumquatsaddle.entry.control import make_control_server
 from kumquatsaddle.entry.operators import make_operators_server
 from kumquatsaddle.entry.proxy import make_proxy
+from kumquatsaddle.exceptions import ConflictError
 from kumquatsaddle.lifecycle.application import make_application
 from kumquatsaddle.membership.gossip import make_gossip
 from kumquatsaddle.membership.members import Member, make_table
@@ -143,6 +145,9 @@
 
     def _take_list(self):
         """Take over the list of backend servers and the drains of operators."""
+        if self.distribution.backends is None:
+            # There is no list yet, which is not the same as an empty one.
+            return
         drains = self.configuration.drains
         self.backends = [
             Backend(
@@ -153,15 +158,28 @@
                 entry.region,
                 entry.leaving or entry.name in drains,
             )
-            for entry in self.distribution.backends or ()
+            for entry in self.distribution.backends
         ]
         self.gossip.seeds |= {
             entry.address for entry in self.distribution.listed if entry.role == "entry"
         }
 
+    async def _write_seeds(self):
+        """Write the configuration of the settings to the embedded platform."""
+        changes = list(seed_changes(self.settings.seeds))
+        self.distribution.apply_changes(changes)
+        for change in changes:
+            try:
+                await self.platform.put_row(
+                    change_key(change.version), asdict(change), None
+                )
+            except ConflictError:
+                # Another instance of this process shares the platform.
+                return
+
     async def _load_first(self):
         if self.settings.get("platform", "kind") == "memory":
-            self.distribution.apply_changes(seed_changes(self.settings.seeds))
+            await self._write_seeds()
         self.gossip.seeds |= {
             str(address) for address in self.settings.get("membership", "seeds")
         }
