--- a/kumquatsaddle/configuration/tests/commits.feature
+++ b/kumquatsaddle/configuration/tests/commits.feature
@@ -7,15 +7,11 @@
 
   Scenario: A write that takes effect after the read that looked for it
     # Guards against "not written" for a change that appears later.
-    Given a platform whose first write takes effect 3 seconds late
-    When an operator creates a service and gives up when there is no answer
-    Then the log has one change with the operator's id, at one version
+    Then after a write that is 3 seconds late the log has the change once
 
   Scenario: A withdrawn edit never takes effect
     # Guards against a late write that appears after its operator gave up.
-    Given a platform whose writes take effect 3 seconds late without a reply
-    When an operator creates a service, is told "unknown" and withdraws it
-    Then after 10 seconds the answer of the withdrawal agrees with the log
+    Then after 4 late writes, "unknown" and a withdrawal the log has no change of it
 
   Scenario: Edits of different entities do not conflict
     # Guards against conflicts between operators who edit different accounts.
@@ -35,12 +31,10 @@
   Scenario: The platform is unavailable
     # Guards against "not written" for an edit that an earlier attempt wrote.
     Given a configuration with 2 accounts that two operators have read
-    When the platform is down
-    Then a first attempt is answered not written and a repeated one unknown
+    Then without the platform a first attempt is not written and a repeated one unknown
 
   Scenario: The late write arrives while the edit is being withdrawn
     # Guards against "not written" for a change that arrived at the last moment.
-    Given a platform on which a late write arrives just before the withdrawal
     Then the withdrawal answers that the edit was accepted
 
   Scenario: The platform's table was restored from a backup
--- a/kumquatsaddle/configuration/tests/distribution.feature
+++ b/kumquatsaddle/configuration/tests/distribution.feature
@@ -11,7 +11,6 @@
 
   Scenario: An instance starts while the platform is unavailable
     # Guards against a start without configuration or without backend servers.
-    Given 5 connected configurations that hold 3 changes and a list of servers
     When the platform fails and an instance starts with one stale peer in reach
     Then it starts with the version and the list of its peers
 
@@ -45,7 +44,6 @@
 
   Scenario: A starting instance knows of a higher version that it cannot fetch
     # Guards against a start with an older configuration than was accepted.
-    Given 3 instances at version 1 and one at version 2 that cannot be reached
     When the platform fails and an instance starts that has heard of version 2
     Then it becomes ready only when version 2 can be fetched
 
--- a/kumquatsaddle/configuration/tests/steps/commits.py
+++ b/kumquatsaddle/configuration/tests/steps/commits.py
@@ -17,8 +17,8 @@
     FakeNetwork,
     FakeNode,
     FaultyPlatform,
-    run_with_mock_clock,
 )
+from kumquatsaddle.testing.runs import expect, in_mock_run, run_with_mock_clock
 
 _RUNS = 60
 _OPERATORS = 5
@@ -147,68 +147,34 @@
         return put
 
 
-@given("a platform whose first write takes effect 3 seconds late")
-def use_one_late_write(context):
-    context.late_writes = 1
+@then("after a write that is 3 seconds late the log has the change once")
+@in_mock_run
+async def check_late_write(context, nursery):
+    platform = LatePlatform(nursery)
+    node = make_nodes(nursery, platform, 1, 1)[0]
+    mine = Edit("service", "s", {}, None, "mine")
+    change = await commit_edit(node.distribution, mine)
+    # Another change takes the next version before the late write arrives.
+    await commit_edit(node.distribution, Edit("service", "t", {}, None, "x"))
+    await trio.sleep(10)
+    log = await read_changes(platform.store, 0)
+    assert [(one.change_id, one.version) for one in log] == [("mine", 1), ("x", 2)]
+    assert change.version == 1
 
 
-@given("a platform whose writes take effect 3 seconds late without a reply")
-def use_late_writes(context):
+@then('after 4 late writes, "unknown" and a withdrawal the log has no change of it')
+@in_mock_run
+async def check_withdrawal(context, nursery):
+    platform = LatePlatform(nursery)
     # The attempts of the edit itself; the withdrawal is answered.
-    context.late_writes = 4
-
-
-@when("an operator creates a service and gives up when there is no answer")
-def create_with_late_write(context):
-    async def run():
-        async with trio.open_nursery() as nursery:
-            platform = LatePlatform(nursery)
-            platform.late_writes = context.late_writes
-            node = make_nodes(nursery, platform, 1, 1)[0]
-            edit = Edit("service", "s", {}, None, "mine")
-            context.change = await commit_edit(node.distribution, edit)
-            # Another change takes the next version before the late write arrives.
-            await commit_edit(node.distribution, Edit("service", "t", {}, None, "x"))
-            await trio.sleep(10)
-        context.log = await read_changes(platform.store, 0)
-
-    run_with_mock_clock(run)
-
-
-@then("the log has one change with the operator's id, at one version")
-def check_late_write(context):
-    found = [change for change in context.log if change.change_id == "mine"]
-    assert [change.version for change in found] == [context.change.version]
-    assert len(context.log) == 2
-
-
-@when('an operator creates a service, is told "unknown" and withdraws it')
-def withdraw_late_write(context):
-    async def run():
-        async with trio.open_nursery() as nursery:
-            platform = LatePlatform(nursery)
-            platform.late_writes = context.late_writes
-            node = make_nodes(nursery, platform, 1, 1)[0]
-            try:
-                await commit_edit(
-                    node.distribution, Edit("service", "s", {}, None, "mine")
-                )
-                raise AssertionError("no write was answered")
-            except ChangeUnknownError:
-                pass
-            context.withdrawn = await withdraw_edit(
-                node.distribution, "service", "s", "mine"
-            )
-            await trio.sleep(10)
-        context.log = await read_changes(platform.store, 0)
-
-    run_with_mock_clock(run)
-
-
-@then("after 10 seconds the answer of the withdrawal agrees with the log")
-def check_withdrawal(context):
-    assert context.withdrawn is None
-    assert [change.kind for change in context.log] == ["none"]
+    platform.late_writes = 4
+    node = make_nodes(nursery, platform, 1, 1)[0]
+    mine = Edit("service", "s", {}, None, "mine")
+    await expect(ChangeUnknownError, commit_edit(node.distribution, mine))
+    assert await withdraw_edit(node.distribution, "service", "s", "mine") is None
+    await trio.sleep(10)
+    log = await read_changes(platform.store, 0)
+    assert [change.kind for change in log] == ["none"]
 
 
 @given("a configuration with 2 accounts that two operators have read")
@@ -230,37 +196,32 @@
 
 
 @when("both edit different accounts at the same version of the log")
-def edit_different_accounts(context):
-    async def run():
-        async with trio.open_nursery() as nursery:
-            node, platform = await make_filled_node(context, nursery)
-            other = make_nodes(nursery, platform, 1, 2)[0]
-            context.accepted = {}
-
-            async def edit(distribution, name):
-                value = {"template": "t", "floors": {"s": 1}}
-                edit = Edit("account", name, value, 3 + (name == "two"), name)
-                context.accepted[name] = await commit_edit(distribution, edit)
-
-            async with trio.open_nursery() as inner:
-                inner.start_soon(edit, node.distribution, "one")
-                inner.start_soon(edit, other.distribution, "two")
-            value = {"template": "t"}
-            again = Edit("account", "one", value, 3, "late")
-            try:
-                await commit_edit(node.distribution, again)
-                context.conflict = None
-            except ConflictError as error:
-                context.conflict = error
-            # A later edit hides the first one from a simple look at the entity.
-            await commit_edit(
-                node.distribution,
-                Edit("account", "one", value, context.accepted["one"].version, "new"),
-            )
-            first = Edit("account", "one", value, 3, "one", "", True)
-            context.repeated = await commit_edit(other.distribution, first)
-
-    run_with_mock_clock(run)
+@in_mock_run
+async def edit_different_accounts(context, nursery):
+    node, platform = await make_filled_node(context, nursery)
+    other = make_nodes(nursery, platform, 1, 2)[0]
+    context.accepted = {}
+
+    async def edit(distribution, name):
+        value = {"template": "t", "floors": {"s": 1}}
+        edit = Edit("account", name, value, 3 + (name == "two"), name)
+        context.accepted[name] = await commit_edit(distribution, edit)
+
+    async with trio.open_nursery() as inner:
+        inner.start_soon(edit, node.distribution, "one")
+        inner.start_soon(edit, other.distribution, "two")
+    value = {"template": "t"}
+    again = Edit("account", "one", value, 3, "late")
+    context.conflict = await expect(
+        ConflictError, commit_edit(node.distribution, again)
+    )
+    # A later edit hides the first one from a simple look at the entity.
+    await commit_edit(
+        node.distribution,
+        Edit("account", "one", value, context.accepted["one"].version, "new"),
+    )
+    first = Edit("account", "one", value, 3, "one", "", True)
+    context.repeated = await commit_edit(other.distribution, first)
 
 
 @then("both edits are accepted")
@@ -271,7 +232,6 @@
 
 @then("an edit of an entity that has changed since is a conflict")
 def check_conflict_was_raised(context):
-    assert context.conflict is not None
     assert context.conflict.exit_code == 6
 
 
@@ -281,18 +241,14 @@
 
 
 def expect_refusal(context, edit, field):
-    async def run():
-        async with trio.open_nursery() as nursery:
-            node, platform = await make_filled_node(context, nursery)
-            try:
-                await commit_edit(node.distribution, edit)
-            except ConfigurationError as error:
-                assert error.field == field, error
-            else:
-                raise AssertionError("accepted")
-            assert len(await read_changes(platform.store, 0)) == len(context.edits)
+    @in_mock_run
+    async def check(context, nursery):
+        node, platform = await make_filled_node(context, nursery)
+        call = commit_edit(node.distribution, edit)
+        assert (await expect(ConfigurationError, call)).field == field
+        assert len(await read_changes(platform.store, 0)) == len(context.edits)
 
-    run_with_mock_clock(run)
+    check(context)
 
 
 @then("an account of an unknown template is refused with its field")
@@ -315,82 +271,51 @@
     expect_refusal(context, Edit("template", "t", None, 2), "templates/t")
 
 
-@when("the platform is down")
-def note_down(context):
-    context.down = True
-
-
-@then("a first attempt is answered not written and a repeated one unknown")
-def check_down(context):
-    async def run():
-        async with trio.open_nursery() as nursery:
-            node, platform = await make_filled_node(context, nursery)
-            platform.down = context.down
-            value = {"template": "t"}
-            for repeated, kind in (
-                (False, ChangeNotWrittenError),
-                (True, ChangeUnknownError),
-            ):
-                edit = Edit("account", "x", value, None, "id", "", repeated)
-                try:
-                    await commit_edit(node.distribution, edit)
-                    raise AssertionError("accepted")
-                except (ChangeNotWrittenError, ChangeUnknownError) as error:
-                    assert type(error) is kind
-
-    run_with_mock_clock(run)
-
-
-@given("a platform on which a late write arrives just before the withdrawal")
-def describe_race(context):
-    context.edits = [("service", "s", {})]
+@then("without the platform a first attempt is not written and a repeated one unknown")
+@in_mock_run
+async def check_down(context, nursery):
+    node, platform = await make_filled_node(context, nursery)
+    platform.down = True
+    for repeated in (False, True):
+        edit = Edit("account", "x", {"template": "t"}, None, "id", "", repeated)
+        kind = ChangeUnknownError if repeated else ChangeNotWrittenError
+        await expect(kind, commit_edit(node.distribution, edit))
 
 
 @then("the withdrawal answers that the edit was accepted")
-def check_race(context):
-    async def run():
-        async with trio.open_nursery() as nursery:
-            node, platform = await make_filled_node(context, nursery)
-            store, put_row = platform.store, platform.store.put_row
-            mine = Change(2, "mine", "service", "t", {})
-
-            async def put_after_late_write(*arguments):
-                store.put_row = put_row
-                await put_row(change_key(2), asdict(mine), None)
-                return await put_row(*arguments)
+@in_mock_run
+async def check_race(context, nursery):
+    platform = FaultyPlatform(nursery)
+    node = make_nodes(nursery, platform, 1, 1)[0]
+    store, put_row = platform.store, platform.store.put_row
+    mine = Change(1, "mine", "service", "t", {})
 
-            store.put_row = put_after_late_write
-            change = await withdraw_edit(node.distribution, "service", "t", "mine")
-            assert change == mine
-            assert await read_changes(store, 1) == [mine]
+    async def put_after_late_write(*arguments):
+        store.put_row = put_row
+        await put_row(change_key(1), asdict(mine), None)
+        return await put_row(*arguments)
 
-    run_with_mock_clock(run)
+    store.put_row = put_after_late_write
+    change = await withdraw_edit(node.distribution, "service", "t", "mine")
+    assert change == mine
+    assert await read_changes(store, 0) == [mine]
 
 
 @then("without the last row edits and withdrawals write nothing until it is back")
-def check_restored(context):
-    async def run():
-        async with trio.open_nursery() as nursery:
-            node, platform = await make_filled_node(context, nursery)
-            rows = platform.store.rows
-            last = rows.pop(change_key(4))
-            edit = Edit("service", "new", {}, None, "mine")
-            for replaced in (None, '{"version": 4, "change_id": "x", "kind": "none"'):
-                if replaced:
-                    text = replaced + ', "name": "", "value": null}'
-                    rows[change_key(4)] = (text, "1")
-                try:
-                    await commit_edit(node.distribution, edit)
-                    raise AssertionError("accepted")
-                except ChangeNotWrittenError as error:
-                    assert "version 4" in str(error)
-                try:
-                    await withdraw_edit(node.distribution, "service", "new", "mine")
-                    raise AssertionError("accepted")
-                except ChangeUnknownError:
-                    pass
-                assert change_key(5) not in rows and node.version == 4
-            rows[change_key(4)] = last
-            assert (await commit_edit(node.distribution, edit)).version == 5
-
-    run_with_mock_clock(run)
+@in_mock_run
+async def check_restored(context, nursery):
+    node, platform = await make_filled_node(context, nursery)
+    rows = platform.store.rows
+    last = rows.pop(change_key(4))
+    edit = Edit("service", "new", {}, None, "mine")
+    for replaced in (None, '{"version": 4, "change_id": "x", "kind": "none"'):
+        if replaced:
+            text = replaced + ', "name": "", "value": null}'
+            rows[change_key(4)] = (text, "1")
+        call = commit_edit(node.distribution, edit)
+        assert "version 4" in str(await expect(ChangeNotWrittenError, call))
+        call = withdraw_edit(node.distribution, "service", "new", "mine")
+        await expect(ChangeUnknownError, call)
+        assert change_key(5) not in rows and node.version == 4
+    rows[change_key(4)] = last
+    assert (await commit_edit(node.distribution, edit)).version == 5
--- a/kumquatsaddle/configuration/tests/steps/distribution.py
+++ b/kumquatsaddle/configuration/tests/steps/distribution.py
@@ -19,12 +19,18 @@
 from kumquatsaddle.testing.configuration import (
     FakeNetwork,
     FaultyPlatform,
+)
+from kumquatsaddle.testing.runs import (
+    expect,
+    in_mock_run,
+    in_trio,
     run_with_mock_clock,
 )
 
 _SECONDS = 90
 _LIMIT = 5.0
 _SEEDS = (1, 2, 3)
+_NAMES = ("n0", "n1", "n2", "n3")
 
 
 def make_server(name):
@@ -174,37 +180,26 @@
         assert len(run.final) == 1 and min(run.final) >= max(run.accepted)
 
 
-@given("5 connected configurations that hold 3 changes and a list of servers")
-def describe_small_fleet(context):
-    context.names = [f"n{index}" for index in range(5)]
-
-
 @when("the platform fails and an instance starts with one stale peer in reach")
-def start_in_outage(context):
-    async def run():
-        async with trio.open_nursery() as nursery:
-            platform = FaultyPlatform(nursery)
-            platform.store.instances["b1"] = make_server("b1")
-            network = FakeNetwork(nursery, 1, loss=0.0)
-            nodes = [network.add(name, platform, 1) for name in context.names]
-            await wait_until_ready(nodes)
-            stale = nodes[0]
-            await commit_edit(nodes[1].distribution, Edit("service", "s", {}, None))
-            await trio.sleep(2)
-            stale.isolated = True
-            for name in ("t", "u"):
-                await commit_edit(
-                    nodes[1].distribution, Edit("service", name, {}, None)
-                )
-            await trio.sleep(2)
-            assert stale.version == 1
-            platform.down, stale.isolated = True, False
-            new = network.add("new", platform, 7)
-            await wait_until_ready([new])
-            context.started = new.version, new.distribution.backends
-            nursery.cancel_scope.cancel()
-
-    run_with_mock_clock(run)
+@in_mock_run
+async def start_in_outage(context, nursery):
+    platform = FaultyPlatform(nursery)
+    platform.store.instances["b1"] = make_server("b1")
+    network = FakeNetwork(nursery, 1, loss=0.0)
+    nodes = [network.add(name, platform, 1) for name in _NAMES]
+    await wait_until_ready(nodes)
+    stale = nodes[0]
+    await commit_edit(nodes[1].distribution, Edit("service", "s", {}, None))
+    await trio.sleep(2)
+    stale.isolated = True
+    for name in ("t", "u"):
+        await commit_edit(nodes[1].distribution, Edit("service", name, {}, None))
+    await trio.sleep(2)
+    assert stale.version == 1
+    platform.down, stale.isolated = True, False
+    new = network.add("new", platform, 7)
+    await wait_until_ready([new])
+    context.started = new.version, new.distribution.backends
 
 
 @then("it starts with the version and the list of its peers")
@@ -213,21 +208,17 @@
 
 
 @given("3 instances that start while the platform is unavailable")
-def start_without_anything(context):
-    async def run():
-        async with trio.open_nursery() as nursery:
-            platform = FaultyPlatform(nursery)
-            platform.down = True
-            network = FakeNetwork(nursery, 1)
-            nodes = [network.add(f"n{index}", platform, index) for index in range(3)]
-            await trio.sleep(60)
-            context.ready_in_outage = [node.ready_at for node in nodes]
-            platform.down = False
-            await trio.sleep(10)
-            context.ready_after = [node.ready_at for node in nodes]
-            nursery.cancel_scope.cancel()
-
-    run_with_mock_clock(run)
+@in_mock_run
+async def start_without_anything(context, nursery):
+    platform = FaultyPlatform(nursery)
+    platform.down = True
+    network = FakeNetwork(nursery, 1)
+    nodes = [network.add(f"n{index}", platform, index) for index in range(3)]
+    await trio.sleep(60)
+    context.ready_in_outage = [node.ready_at for node in nodes]
+    platform.down = False
+    await trio.sleep(10)
+    context.ready_after = [node.ready_at for node in nodes]
 
 
 @then("none of them becomes ready before the platform is back")
@@ -258,72 +249,62 @@
 
 
 @then("a peer behind by any number of changes reaches its version in one fetch")
-def check_fetch(context):
-    async def run():
-        async with trio.open_nursery() as nursery:
-            platform, network, node = await make_long_log(context, nursery)
-            rows = await platform.store.list_rows("config/changes/")
-            wanted = dump_all(node.distribution.configuration)
-            for behind in (0, 1, 199, 200, 201, 350, 450):
-                lonely = FakeNetwork(nursery, 2, loss=0.0)
-                peer = lonely.add(f"p{behind}", platform, 3, start=False)
-                for row in rows[: context.changes - behind]:
-                    peer.distribution.apply_changes([parse_change(row.value)])
-                peer.network.nodes["old"] = node
-                await peer.distribution._fetch("old")
-                assert peer.version == context.changes
-                assert dump_all(peer.distribution.configuration) == wanted
-            nursery.cancel_scope.cancel()
-
-    run_with_mock_clock(run)
+@in_mock_run
+async def check_fetch(context, nursery):
+    platform, network, node = await make_long_log(context, nursery)
+    rows = await platform.store.list_rows("config/changes/")
+    wanted = dump_all(node.distribution.configuration)
+    for behind in (0, 1, 199, 200, 201, 350, 450):
+        lonely = FakeNetwork(nursery, 2, loss=0.0)
+        peer = lonely.add(f"p{behind}", platform, 3, start=False)
+        for row in rows[: context.changes - behind]:
+            peer.distribution.apply_changes([parse_change(row.value)])
+        peer.network.nodes["old"] = node
+        await peer.distribution._fetch("old")
+        assert peer.version == context.changes
+        assert dump_all(peer.distribution.configuration) == wanted
 
 
 @then("a starting instance reaches the same entities whatever happened to snapshots")
-def check_snapshots(context):
-    async def run():
-        async with trio.open_nursery() as nursery:
-            platform, network, node = await make_long_log(context, nursery)
-            wanted = dump_all(node.distribution.configuration)
-            objects = platform.store.objects
-            assert sorted(objects)[-1].endswith("0400")
-            whole = dict(objects)
-            rng = random.Random(1)
-
-            async def start(label):
-                lonely = FakeNetwork(nursery, 5, loss=0.0)
-                new = lonely.add(label, platform, 9)
-                await wait_until_ready([new])
-                assert new.version == context.changes, label
-                assert dump_all(new.distribution.configuration) == wanted, label
-                assert (
-                    new.distribution.configuration.removed
-                    == node.distribution.configuration.removed
-                )
-                new.kill()
-
-            await start("intact")
-            last = sorted(objects)[-1]
-            for trial in range(40):
-                data = bytearray(whole[last])
-                place = rng.randrange(len(data))
-                if trial % 2:
-                    data = data[:place]
-                else:
-                    data[place] ^= 1 << rng.randrange(8)
-                objects[last] = bytes(data)
-                await start(f"damaged-{trial}")
-            del objects[last]
-            await start("lost")
-            objects.clear()
-            await start("all-lost")
-            objects.update(whole)
-            for pointer in (100, 999999, -5):
-                key = "config/snapshot"
-                platform.store.rows[key] = ('{"version": %d}' % pointer, "1")
-                await start(f"pointer{pointer}")
-            nursery.cancel_scope.cancel()
-
-    run_with_mock_clock(run)
+@in_mock_run
+async def check_snapshots(context, nursery):
+    platform, network, node = await make_long_log(context, nursery)
+    wanted = dump_all(node.distribution.configuration)
+    objects = platform.store.objects
+    removed = node.distribution.configuration.removed
+    assert sorted(objects)[-1].endswith("0400")
+    whole = dict(objects)
+    rng = random.Random(1)
+
+    async def start(label):
+        lonely = FakeNetwork(nursery, 5, loss=0.0)
+        new = lonely.add(label, platform, 9)
+        await wait_until_ready([new])
+        assert new.version == context.changes, label
+        assert dump_all(new.distribution.configuration) == wanted, label
+        assert new.distribution.configuration.removed == removed
+        new.kill()
+
+    await start("intact")
+    last = sorted(objects)[-1]
+    for trial in range(40):
+        data = bytearray(whole[last])
+        place = rng.randrange(len(data))
+        if trial % 2:
+            data = data[:place]
+        else:
+            data[place] ^= 1 << rng.randrange(8)
+        objects[last] = bytes(data)
+        await start(f"damaged-{trial}")
+    del objects[last]
+    await start("lost")
+    objects.clear()
+    await start("all-lost")
+    objects.update(whole)
+    for pointer in (100, 999999, -5):
+        key = "config/snapshot"
+        platform.store.rows[key] = ('{"version": %d}' % pointer, "1")
+        await start(f"pointer{pointer}")
 
 
 class ListPlatform:
@@ -338,112 +319,91 @@
 
 
 @then("of lists from the platform and from peers the latest read is in force")
-def check_lists(context):
-    async def run():
-        async with trio.open_nursery() as nursery:
-            network = FakeNetwork(nursery, 1, loss=0.0)
-            nodes = {}
-            for name, time in (("old", 100.0), ("new", 200.0), ("own", 150.0)):
-                listed = InstanceList([make_server(name)], time)
-                node = nodes[name] = network.add(name, None, 1, start=False)
-                node.distribution.platform = ListPlatform(listed, 0.01)
-                await node.distribution.read_list()
-            own = nodes["own"].distribution
-            await own._fetch("old", True)
-            assert own.backends == [make_server("own")]
-            await own._fetch("new", True)
-            assert own.backends == [make_server("new")]
-            # A read that began before the newer list arrived.
-            own.platform.delay = 1.0
-            own.backends, own.listed_at = [make_server("own")], 150.0
-            async with trio.open_nursery() as inner:
-                inner.start_soon(own.read_list)
-                inner.start_soon(own._fetch, "new", True)
-            assert own.backends == [make_server("new")]
-            # A read that begins later wins, also if the platform's clock went back.
-            await own.read_list()
-            assert own.backends == [make_server("own")]
-            nursery.cancel_scope.cancel()
-
-    run_with_mock_clock(run)
+@in_mock_run
+async def check_lists(context, nursery):
+    network = FakeNetwork(nursery, 1, loss=0.0)
+    nodes = {}
+    for name, time in (("old", 100.0), ("new", 200.0), ("own", 150.0)):
+        listed = InstanceList([make_server(name)], time)
+        node = nodes[name] = network.add(name, None, 1, start=False)
+        node.distribution.platform = ListPlatform(listed, 0.01)
+        await node.distribution.read_list()
+    own = nodes["own"].distribution
+    await own._fetch("old", True)
+    assert own.backends == [make_server("own")]
+    await own._fetch("new", True)
+    assert own.backends == [make_server("new")]
+    # A read that began before the newer list arrived.
+    own.platform.delay = 1.0
+    own.backends, own.listed_at = [make_server("own")], 150.0
+    async with trio.open_nursery() as inner:
+        inner.start_soon(own.read_list)
+        inner.start_soon(own._fetch, "new", True)
+    assert own.backends == [make_server("new")]
+    # A read that begins later wins, also if the platform's clock went back.
+    await own.read_list()
+    assert own.backends == [make_server("own")]
 
 
 @then("after an invalid row the list of servers is still read and peers are served")
-def check_invalid_row(context):
-    async def run():
-        async with trio.open_nursery() as nursery:
-            platform = FaultyPlatform(nursery)
-            network = FakeNetwork(nursery, 1, loss=0.0)
-            node = network.add("one", platform, 1)
-            await wait_until_ready([node])
-            await commit_edit(node.distribution, Edit("service", "s", {}, None))
-            bad = {"version": 2, "change_id": "x", "kind": "service", "name": "/"}
-            await platform.store.put_row("config/changes/0000000002", bad, None)
-            platform.store.instances["b1"] = make_server("b1")
-            await trio.sleep(20)
-            assert node.version == 1
-            assert node.distribution.backends == [make_server("b1")]
-            other = network.add("two", platform, 2)
-            platform.down = True
-            await wait_until_ready([other])
-            assert other.version == 1
-            # A lonely instance reads the rows before the invalid one.
-            platform.down = False
-            lonely = FakeNetwork(nursery, 3, loss=0.0).add("three", platform, 3)
-            await wait_until_ready([lonely])
-            assert lonely.version == 1
-            nursery.cancel_scope.cancel()
-
-    run_with_mock_clock(run)
+@in_mock_run
+async def check_invalid_row(context, nursery):
+    platform = FaultyPlatform(nursery)
+    network = FakeNetwork(nursery, 1, loss=0.0)
+    node = network.add("one", platform, 1)
+    await wait_until_ready([node])
+    await commit_edit(node.distribution, Edit("service", "s", {}, None))
+    bad = {"version": 2, "change_id": "x", "kind": "service", "name": "/"}
+    await platform.store.put_row("config/changes/0000000002", bad, None)
+    platform.store.instances["b1"] = make_server("b1")
+    await trio.sleep(20)
+    assert node.version == 1
+    assert node.distribution.backends == [make_server("b1")]
+    other = network.add("two", platform, 2)
+    platform.down = True
+    await wait_until_ready([other])
+    assert other.version == 1
+    # A lonely instance reads the rows before the invalid one.
+    platform.down = False
+    lonely = FakeNetwork(nursery, 3, loss=0.0).add("three", platform, 3)
+    await wait_until_ready([lonely])
+    assert lonely.version == 1
 
 
 @then("a reply with an old snapshot and old changes leaves it as it was")
-def check_stale_reply(context):
-    async def run():
-        async with trio.open_nursery() as nursery:
-            platform, network, node = await make_long_log(context, nursery)
-            wanted = dump_all(node.distribution.configuration)
-            rows = await platform.store.list_rows("config/changes/")
-            entries = tuple(dump_change(parse_change(row.value)) for row in rows[:120])
-            data = platform.store.objects["config/snapshots/0000000100"]
-            reply = ChangesReply(120, True, entries, data)
-            await node.distribution._apply_reply(reply)
-            assert node.version == context.changes
-            assert dump_all(node.distribution.configuration) == wanted
-            nursery.cancel_scope.cancel()
-
-    run_with_mock_clock(run)
-
-
-@given("3 instances at version 1 and one at version 2 that cannot be reached")
-def describe_hidden_version(context):
-    context.names = ["n0", "n1", "n2", "ahead"]
+@in_mock_run
+async def check_stale_reply(context, nursery):
+    platform, network, node = await make_long_log(context, nursery)
+    wanted = dump_all(node.distribution.configuration)
+    rows = await platform.store.list_rows("config/changes/")
+    entries = tuple(dump_change(parse_change(row.value)) for row in rows[:120])
+    data = platform.store.objects["config/snapshots/0000000100"]
+    reply = ChangesReply(120, True, entries, data)
+    await node.distribution._apply_reply(reply)
+    assert node.version == context.changes
+    assert dump_all(node.distribution.configuration) == wanted
 
 
 @when("the platform fails and an instance starts that has heard of version 2")
-def start_with_hidden_version(context):
-    async def run():
-        async with trio.open_nursery() as nursery:
-            platform = FaultyPlatform(nursery)
-            network = FakeNetwork(nursery, 1, loss=0.0)
-            nodes = [network.add(name, platform, 1) for name in context.names]
-            await wait_until_ready(nodes)
-            ahead = nodes[-1]
-            await commit_edit(nodes[0].distribution, Edit("service", "s", {}, None))
-            await trio.sleep(2)
-            ahead.isolated = True
-            await commit_edit(ahead.distribution, Edit("service", "t", {}, None))
-            platform.down = True
-            new = network.add("new", platform, 5)
-            new.distribution.on_version("ahead", 2)
-            await trio.sleep(30)
-            context.before = new.ready_at, new.version
-            ahead.isolated = False
-            await trio.sleep(15)
-            context.after = new.ready_at, new.version
-            nursery.cancel_scope.cancel()
-
-    run_with_mock_clock(run)
+@in_mock_run
+async def start_with_hidden_version(context, nursery):
+    platform = FaultyPlatform(nursery)
+    network = FakeNetwork(nursery, 1, loss=0.0)
+    nodes = [network.add(name, platform, 1) for name in _NAMES]
+    await wait_until_ready(nodes)
+    ahead = nodes[-1]
+    await commit_edit(nodes[0].distribution, Edit("service", "s", {}, None))
+    await trio.sleep(2)
+    ahead.isolated = True
+    await commit_edit(ahead.distribution, Edit("service", "t", {}, None))
+    platform.down = True
+    new = network.add("new", platform, 5)
+    new.distribution.on_version("ahead", 2)
+    await trio.sleep(30)
+    context.before = new.ready_at, new.version
+    ahead.isolated = False
+    await trio.sleep(15)
+    context.after = new.ready_at, new.version
 
 
 @then("it becomes ready only when version 2 can be fetched")
@@ -453,72 +413,54 @@
 
 
 @then("a reply of a peer that is not ready does not make an instance ready")
-def check_starting_peer(context):
-    async def run():
-        async with trio.open_nursery() as nursery:
-            platform = FaultyPlatform(nursery)
-            platform.down = True
-            network = FakeNetwork(nursery, 1, loss=0.0)
-            peer = network.add("peer", platform, 1, start=False)
-            peer.distribution._set_backends([make_server("b")], 1.0)
-            new = network.add("new", platform, 2)
-            await trio.sleep(30)
-            assert new.ready_at is None
-            peer.distribution.ready = True
-            await trio.sleep(15)
-            assert new.ready_at is not None
-            nursery.cancel_scope.cancel()
-
-    run_with_mock_clock(run)
+@in_mock_run
+async def check_starting_peer(context, nursery):
+    platform = FaultyPlatform(nursery)
+    platform.down = True
+    network = FakeNetwork(nursery, 1, loss=0.0)
+    peer = network.add("peer", platform, 1, start=False)
+    peer.distribution._set_backends([make_server("b")], 1.0)
+    new = network.add("new", platform, 2)
+    await trio.sleep(30)
+    assert new.ready_at is None
+    peer.distribution.ready = True
+    await trio.sleep(15)
+    assert new.ready_at is not None
 
 
 @then("a snapshot whose head was changed is refused by its digest")
-def check_head(context):
-    async def run():
-        configuration = make_configuration()
-        configuration.version = 400
-        data = await encode_snapshot(configuration)
-        assert (await decode_snapshot(data)).version == 400
-        try:
-            await decode_snapshot(data.replace(b": 400", b": 500", 1))
-        except ConfigurationError as error:
-            assert "digest" in str(error)
-        else:
-            raise AssertionError("accepted")
-
-    trio.run(run)
+@in_trio
+async def check_head(context):
+    configuration = make_configuration()
+    configuration.version = 400
+    data = await encode_snapshot(configuration)
+    assert (await decode_snapshot(data)).version == 400
+    changed = data.replace(b": 400", b": 500", 1)
+    await expect(ConfigurationError, decode_snapshot(changed))
 
 
 @then("an instance starts from 1700 rows of the table")
-def check_long_log(context):
-    async def run():
-        async with trio.open_nursery() as nursery:
-            platform = FaultyPlatform(nursery)
-            for version in range(1, 1701):
-                change = Change(version, f"c{version}", "service", f"s{version}", {})
-                value = json.loads(dump_change(change))
-                await platform.store.put_row(change_key(version), value, None)
-            node = FakeNetwork(nursery, 1).add("one", platform, 1)
-            await wait_until_ready([node])
-            assert node.version == len(node.distribution.configuration.services) == 1700
-            nursery.cancel_scope.cancel()
-
-    run_with_mock_clock(run)
+@in_mock_run
+async def check_long_log(context, nursery):
+    platform = FaultyPlatform(nursery)
+    for version in range(1, 1701):
+        change = Change(version, f"c{version}", "service", f"s{version}", {})
+        value = json.loads(dump_change(change))
+        await platform.store.put_row(change_key(version), value, None)
+    node = FakeNetwork(nursery, 1).add("one", platform, 1)
+    await wait_until_ready([node])
+    assert node.version == len(node.distribution.configuration.services) == 1700
 
 
 @then("a server that leaves the list is gone after the next reads of the platform")
-def check_changing_list(context):
-    async def run():
-        async with trio.open_nursery() as nursery:
-            platform = FaultyPlatform(nursery)
-            platform.store.instances["b1"] = make_server("b1")
-            platform.store.instances["b2"] = make_server("b2")
-            node = FakeNetwork(nursery, 1).add("one", platform, 1)
-            await wait_until_ready([node])
-            del platform.store.instances["b1"]
-            # The poll interval is 10 s with a jitter of up to half of it.
-            await trio.sleep(16)
-            assert node.distribution.backends == [make_server("b2")]
-            nursery.cancel_scope.cancel()
-
-    run_with_mock_clock(run)
+@in_mock_run
+async def check_changing_list(context, nursery):
+    platform = FaultyPlatform(nursery)
+    platform.store.instances["b1"] = make_server("b1")
+    platform.store.instances["b2"] = make_server("b2")
+    node = FakeNetwork(nursery, 1).add("one", platform, 1)
+    await wait_until_ready([node])
+    del platform.store.instances["b1"]
+    # The poll interval is 10 s with a jitter of up to half of it.
+    await trio.sleep(16)
+    assert node.distribution.backends == [make_server("b2")]
--- a/kumquatsaddle/configuration/tests/steps/entities.py
+++ b/kumquatsaddle/configuration/tests/steps/entities.py
@@ -41,57 +41,37 @@
 names = st.sampled_from(["s", "lookup", "order", "\u00fc-1"])
 ranks = st.sampled_from(["urgent", "standard", "bulk", "BULK"])
 rates = st.floats(0, 1e6, allow_nan=False)
-limits = st.dictionaries(
-    names, st.fixed_dictionaries({"rate": rates, "burst": st.integers(1, 1000)})
-)
-routes = st.lists(
-    st.fixed_dictionaries(
-        {
-            "method": st.sampled_from(["GET", "post", "*"]),
-            "prefix": st.sampled_from(["/", "/a", "/ab", "/a/b", "/a/b/c", "/b"]),
-            "service": names,
-            "rank": ranks,
-            "idempotent": st.booleans(),
-        }
+record = st.fixed_dictionaries
+limits = st.dictionaries(names, record({"rate": rates, "burst": st.integers(1, 1000)}))
+floors = st.dictionaries(names, rates)
+prefixes = st.sampled_from(["/", "/a", "/ab", "/a/b", "/a/b/c", "/b"])
+route = {
+    "method": st.sampled_from(["GET", "post", "*"]),
+    "prefix": prefixes,
+    "service": names,
+    "rank": ranks,
+    "idempotent": st.booleans(),
+}
+routes = st.lists(record(route), max_size=8)
+service = {
+    "floor": st.floats(0, 1),
+    "slots": st.integers(1, 1000),
+    "deadline": st.floats(0.01, 60),
+    "rank_floors": st.dictionaries(
+        st.sampled_from(["urgent", "standard", "bulk"]), st.floats(0, 0.3)
     ),
-    max_size=8,
-)
+}
+template = {"routes": routes, "limits": limits, "floors": floors}
+differences = {
+    "services": st.lists(names),
+    "ranks": st.dictionaries(names, ranks),
+    "limits": limits,
+    "floors": floors,
+}
 valid_values = st.one_of(
-    st.tuples(
-        st.just("service"),
-        st.fixed_dictionaries(
-            {
-                "floor": st.floats(0, 1),
-                "slots": st.integers(1, 1000),
-                "deadline": st.floats(0.01, 60),
-                "rank_floors": st.dictionaries(
-                    st.sampled_from(["urgent", "standard", "bulk"]), st.floats(0, 0.3)
-                ),
-            }
-        ),
-    ),
-    st.tuples(
-        st.just("template"),
-        st.fixed_dictionaries(
-            {
-                "routes": routes,
-                "limits": limits,
-                "floors": st.dictionaries(names, rates),
-            }
-        ),
-    ),
-    st.tuples(
-        st.just("account"),
-        st.fixed_dictionaries(
-            {"template": names},
-            optional={
-                "services": st.lists(names),
-                "ranks": st.dictionaries(names, ranks),
-                "limits": limits,
-                "floors": st.dictionaries(names, rates),
-            },
-        ),
-    ),
+    st.tuples(st.just("service"), record(service)),
+    st.tuples(st.just("template"), record(template)),
+    st.tuples(st.just("account"), record({"template": names}, optional=differences)),
     st.tuples(st.just("drain"), st.just({"reason": "disk"})),
 )
 
@@ -155,15 +135,7 @@
             return await decode_snapshot(await encode_snapshot(configuration))
 
         copied = trio.run(copy)
-        for name in (
-            "version",
-            "services",
-            "templates",
-            "accounts",
-            "drains",
-            "removed",
-        ):
-            assert getattr(copied, name) == getattr(configuration, name)
+        assert vars(copied) == vars(configuration)
 
     check()
 
--- a/kumquatsaddle/configuration/tests/steps/nodes.py
+++ b/kumquatsaddle/configuration/tests/steps/nodes.py
@@ -5,13 +5,14 @@
 from pathlib import Path
 
 import trio
-from behave import given, then, when
+from behave import then, when
 
 from kumquatsaddle.configuration.commits import Edit, commit_edit
 from kumquatsaddle.lifecycle.node import make_node
 from kumquatsaddle.platform.interface import ListedInstance
 from kumquatsaddle.settings.files import load_settings
 from kumquatsaddle.testing.configuration import FaultyPlatform
+from kumquatsaddle.testing.runs import in_trio
 
 _HOST = "127.0.37.{}"
 # Ends a run that hangs; no step measures time.
@@ -111,33 +112,26 @@
         await commit_edit(node.distribution, edit)
 
 
-@given("2 instances on loopback with one key and a shared platform")
-def describe_nodes(context):
-    context.count = 2
-
-
-@when("a change is committed at one of them and the platform fails")
-def run_nodes(context):
-    async def run():
-        async with open_nodes() as nodes:
-            first, second = [await nodes.start() for _ in range(context.count)]
-            await commit_services(first, 0, 1)
-            nodes.platform.down = True
-            await wait_for_version(second, 1)
-            context.second = second.configuration.version
-            third = await nodes.start()
-            context.third = third.configuration.version, list(third.backends)
-            nodes.platform.down = False
-            await commit_services(first, 1, 300)
-            nodes.platform.down = True
-            fourth = await nodes.start()
-            await wait_for_version(fourth, 301)
-            context.fourth = (
-                fourth.configuration.version,
-                len(fourth.configuration.services),
-            )
-
-    trio.run(run)
+@when("one of 2 instances on loopback commits a change and the platform fails")
+@in_trio
+async def run_nodes(context):
+    async with open_nodes() as nodes:
+        first, second = [await nodes.start() for _ in range(2)]
+        await commit_services(first, 0, 1)
+        nodes.platform.down = True
+        await wait_for_version(second, 1)
+        context.second = second.configuration.version
+        third = await nodes.start()
+        context.third = third.configuration.version, list(third.backends)
+        nodes.platform.down = False
+        await commit_services(first, 1, 300)
+        nodes.platform.down = True
+        fourth = await nodes.start()
+        await wait_for_version(fourth, 301)
+        context.fourth = (
+            fourth.configuration.version,
+            len(fourth.configuration.services),
+        )
 
 
 @then("the other one has the change without reading the table")
--- a/kumquatsaddle/entry/tests/steps/operators.py
+++ b/kumquatsaddle/entry/tests/steps/operators.py
@@ -1,6 +1,5 @@
 import base64
 import json
-import tempfile
 from dataclasses import replace
 
 import trio
@@ -9,6 +8,7 @@
 from kumquatsaddle.configuration.transport import ChangesReply
 from kumquatsaddle.dispatch.peers import PeerError
 from kumquatsaddle.testing.operators import OperatorsNode, call_app
+from kumquatsaddle.testing.runs import in_trio
 from kumquatsaddle.types import InstanceState
 
 _HOSTILE_NAME = "<script>alert('x')</script>"
@@ -16,108 +16,92 @@
 
 @given("an operators' server with a token")
 def make_operators(context):
-    context.folder = tempfile.TemporaryDirectory()
-    context.add_cleanup(context.folder.cleanup)
-    context.server = OperatorsNode(context.folder.name)
+    context.server = OperatorsNode()
 
 
 @then("it is alive at once and ready only with a configuration")
-def check_health(context):
-    async def run():
-        app = context.server.node.operators.app
-        assert (await call_app(app, "GET", "/healthz"))[0] == 200
-        assert (await call_app(app, "GET", "/readyz"))[0] == 503
-        status, value = await context.server.call("GET", "/api/v1/accounts")
-        assert (status, value["outcome"]) == (503, "not-written")
-        await context.server.load()
-        node = context.server.node
-        for state in InstanceState:
-            node.gossip.set_own_state(state)
-            ready = state in (InstanceState.ALIVE, InstanceState.IMPAIRED)
-            status, _, _ = await call_app(app, "GET", "/readyz")
-            assert status == (200 if ready else 503), state
-
-    trio.run(run)
+@in_trio
+async def check_health(context):
+    app = context.server.node.operators.app
+    assert (await call_app(app, "GET", "/healthz"))[0] == 200
+    assert (await call_app(app, "GET", "/readyz"))[0] == 503
+    status, value = await context.server.call("GET", "/api/v1/accounts")
+    assert (status, value["outcome"]) == (503, "not-written")
+    await context.server.load()
+    node = context.server.node
+    for state in InstanceState:
+        node.gossip.set_own_state(state)
+        ready = state in (InstanceState.ALIVE, InstanceState.IMPAIRED)
+        status, _, _ = await call_app(app, "GET", "/readyz")
+        assert status == (200 if ready else 503), state
 
 
 @then("only health is answered without a token, with a wrong one or without a setting")
-def check_tokens(context):
+@in_trio
+async def check_tokens(context):
     paths = ("/", "/status.json", "/metrics", "/api/v1/accounts", "/nothing")
-
-    async def run(folder):
-        for configured in (True, False):
-            server = OperatorsNode(folder, configured)
-            await server.load()
-            app = server.node.operators.app
-            for given_token in ("", "Bearer ", "Bearer x", "Bearer \xff", "Basic ="):
-                headers = {"authorization": given_token}
-                for path in paths:
-                    status, _, body = await call_app(app, "GET", path, b"", headers)
-                    assert status == (401 if configured else 403), (path, given_token)
-                    assert server.token.encode() not in body
-                assert (await call_app(app, "GET", "/healthz"))[0] == 200
-            headers = {"authorization": f"Bearer {server.token}"}
-            status, _, _ = await call_app(app, "GET", "/metrics", b"", headers)
-            assert status == (200 if configured else 403)
-
-    with tempfile.TemporaryDirectory() as folder:
-        trio.run(run, folder)
-
-
-@then("basic authentication opens the pages but not the API")
-def check_basic(context):
-    async def run(folder):
-        server = OperatorsNode(folder)
+    for configured in (True, False):
+        server = OperatorsNode(configured)
         await server.load()
         app = server.node.operators.app
-        word = base64.b64encode(f"me:{server.token}".encode()).decode()
-        headers = {"authorization": f"Basic {word}"}
-        assert (await call_app(app, "GET", "/", b"", headers))[0] == 200
-        for method, path in (("GET", "/api/v1/accounts"), ("POST", "/")):
-            assert (await call_app(app, method, path, b"", headers))[0] == 401
+        for given_token in ("", "Bearer ", "Bearer x", "Bearer \xff", "Basic ="):
+            headers = {"authorization": given_token}
+            for path in paths:
+                status, _, body = await call_app(app, "GET", path, b"", headers)
+                assert status == (401 if configured else 403), (path, given_token)
+                assert server.token.encode() not in body
+            assert (await call_app(app, "GET", "/healthz"))[0] == 200
+        headers = {"authorization": f"Bearer {server.token}"}
+        status, _, _ = await call_app(app, "GET", "/metrics", b"", headers)
+        assert status == (200 if configured else 403)
 
-    with tempfile.TemporaryDirectory() as folder:
-        trio.run(run, folder)
 
+@then("basic authentication opens the pages but not the API")
+@in_trio
+async def check_basic(context):
+    server = OperatorsNode()
+    await server.load()
+    app = server.node.operators.app
+    word = base64.b64encode(f"me:{server.token}".encode()).decode()
+    headers = {"authorization": f"Basic {word}"}
+    assert (await call_app(app, "GET", "/", b"", headers))[0] == 200
+    for method, path in (("GET", "/api/v1/accounts"), ("POST", "/")):
+        assert (await call_app(app, method, path, b"", headers))[0] == 401
 
-@then("an account is created, read, changed, compared and deleted by its version")
-def check_account(context):
-    async def run():
-        call = context.server.call
-        await context.server.load()
-        path, value = "/api/v1/accounts/new%20one", {"template": "crew"}
-        status, reply = await call("PUT", path, value, if_none_match="*")
-        assert (status, reply["outcome"]) == (200, "accepted")
-        first = reply["version"]
-        status, reply = await call("PUT", path, value, if_none_match="*")
-        assert (status, reply["outcome"]) == (409, "conflict")
-        status, reply = await call("GET", path)
-        assert (reply["value"], reply["version"]) == (value, first)
-        changed = {"template": "crew", "floors": {"lookup": 2}}
-        status, reply = await call(
-            "PUT", path, changed, if_match=f'"{first}"', kumquatsaddle_change_id="mine"
-        )
-        second = reply["version"]
-        repeated = {"if_match": str(first), "kumquatsaddle_change_id": "mine"}
-        assert (await call("PUT", path, changed, **repeated))[1]["version"] == second
-        status, reply = await call("GET", f"{path}/diff?from={first}")
-        wanted = {"field": "floors", "old": None, "new": {"lookup": 2}}
-        assert reply["differences"] == [wanted]
-        status, reply = await call("DELETE", path, if_match=str(first))
-        assert status == 409
-        status, reply = await call("DELETE", path, if_match=str(second))
-        assert status == 200
-        assert (await call("GET", path))[0] == 404
-        status, reply = await call("GET", f"{path}/history")
-        assert [change["value"] for change in reply["changes"]] == [
-            None,
-            changed,
-            value,
-        ]
-        status, reply = await call("GET", "/api/v1/accounts?limit=1")
-        assert [entry["name"] for entry in reply["entities"]] == ["shop"]
 
-    trio.run(run)
+@then("an account is created, read, changed, compared and deleted by its version")
+@in_trio
+async def check_account(context):
+    call = context.server.call
+    await context.server.load()
+    path, value = "/api/v1/accounts/new%20one", {"template": "crew"}
+    status, reply = await call("PUT", path, value, if_none_match="*")
+    assert (status, reply["outcome"]) == (200, "accepted")
+    first = reply["version"]
+    status, reply = await call("PUT", path, value, if_none_match="*")
+    assert (status, reply["outcome"]) == (409, "conflict")
+    status, reply = await call("GET", path)
+    assert (reply["value"], reply["version"]) == (value, first)
+    changed = {"template": "crew", "floors": {"lookup": 2}}
+    status, reply = await call(
+        "PUT", path, changed, if_match=f'"{first}"', kumquatsaddle_change_id="mine"
+    )
+    second = reply["version"]
+    repeated = {"if_match": str(first), "kumquatsaddle_change_id": "mine"}
+    assert (await call("PUT", path, changed, **repeated))[1]["version"] == second
+    status, reply = await call("GET", f"{path}/diff?from={first}")
+    wanted = {"field": "floors", "old": None, "new": {"lookup": 2}}
+    assert reply["differences"] == [wanted]
+    status, reply = await call("DELETE", path, if_match=str(first))
+    assert status == 409
+    status, reply = await call("DELETE", path, if_match=str(second))
+    assert status == 200
+    assert (await call("GET", path))[0] == 404
+    status, reply = await call("GET", f"{path}/history")
+    values = [change["value"] for change in reply["changes"]]
+    assert values == [None, changed, value]
+    status, reply = await call("GET", "/api/v1/accounts?limit=1")
+    assert [entry["name"] for entry in reply["entities"]] == ["shop"]
 
 
 @then("hostile requests to the API are refused with field and outcome")
@@ -164,45 +148,39 @@
 
 
 @then("a drained backend server is listed as leaving until it is undrained")
-def check_drain(context):
-    async def run():
-        await context.server.load()
-        node = context.server.node
-        for word, leaving in (("drain", True), ("drain", True), ("undrain", False)):
-            path = f"/api/v1/backends/b1/{word}?reason=disk"
-            status, reply = await context.server.call("POST", path)
-            assert (status, reply["outcome"]) == (200, "accepted")
-            found = {backend.name: backend.leaving for backend in node.backends}
-            assert found == {"b1": leaving, "b2": False}
-        # The drain is a change like any other, so it reaches all instances.
-        status, reply = await context.server.call("GET", "/api/v1/drains/b1/history")
-        assert [entry["value"] for entry in reply["changes"]] == [
-            None,
-            {"reason": "disk"},
-        ]
-
-    trio.run(run)
+@in_trio
+async def check_drain(context):
+    await context.server.load()
+    node = context.server.node
+    for word, leaving in (("drain", True), ("drain", True), ("undrain", False)):
+        path = f"/api/v1/backends/b1/{word}?reason=disk"
+        status, reply = await context.server.call("POST", path)
+        assert (status, reply["outcome"]) == (200, "accepted")
+        found = {backend.name: backend.leaving for backend in node.backends}
+        assert found == {"b1": leaving, "b2": False}
+    # The drain is a change like any other, so it reaches all instances.
+    status, reply = await context.server.call("GET", "/api/v1/drains/b1/history")
+    values = [entry["value"] for entry in reply["changes"]]
+    assert values == [None, {"reason": "disk"}]
 
 
 @then("a request is explained with rank, limit and homes")
-def check_explain(context):
-    async def run():
-        await context.server.load()
-        path = "/api/v1/explain?account=shop&method=get&path=/lookup/7%3Fx=1"
-        status, reply = await context.server.call("GET", path)
-        assert status == 200
-        assert (reply["service"], reply["rank"]) == ("lookup", "urgent")
-        assert reply["limit"] == {"rate": 5, "burst": 7}
-        assert [home["instance"] for home in reply["homes"]] == ["one"]
-        assert reply["homes"][0]["why"].startswith("primary")
-        context.server.node.gossip.set_own_state(InstanceState.SUSPECT)
-        status, reply = await context.server.call("GET", path)
-        assert "suspect" in reply["homes"][0]["why"]
-        path = "/api/v1/explain?account=shop&method=GET&path=/none"
-        status, reply = await context.server.call("GET", path)
-        assert (status, reply["reason"]) == (404, "unknown_route")
-
-    trio.run(run)
+@in_trio
+async def check_explain(context):
+    await context.server.load()
+    path = "/api/v1/explain?account=shop&method=get&path=/lookup/7%3Fx=1"
+    status, reply = await context.server.call("GET", path)
+    assert status == 200
+    assert (reply["service"], reply["rank"]) == ("lookup", "urgent")
+    assert reply["limit"] == {"rate": 5, "burst": 7}
+    assert [home["instance"] for home in reply["homes"]] == ["one"]
+    assert reply["homes"][0]["why"].startswith("primary")
+    context.server.node.gossip.set_own_state(InstanceState.SUSPECT)
+    status, reply = await context.server.call("GET", path)
+    assert "suspect" in reply["homes"][0]["why"]
+    path = "/api/v1/explain?account=shop&method=GET&path=/none"
+    status, reply = await context.server.call("GET", path)
+    assert (status, reply["reason"]) == (404, "unknown_route")
 
 
 def add_member(node, name, **changes):
@@ -211,45 +189,41 @@
 
 
 @then("the status page escapes every value and the JSON has the same parts")
-def check_status_page(context):
-    async def run():
-        await context.server.load()
-        node, app = context.server.node, context.server.node.operators.app
-        add_member(node, _HOSTILE_NAME)
-        node.metrics.count("hostile", reason=_HOSTILE_NAME)
-        headers = {"authorization": f"Bearer {context.server.token}"}
-        status, fields, body = await call_app(app, "GET", "/", b"", headers)
-        assert status == 200 and fields[b"content-type"].startswith(b"text/html")
-        assert b"<script" not in body and b"&lt;script" in body
-        status, value = await context.server.call("GET", "/status.json")
-        assert [server["server"] for server in value["servers"]] == ["b1", "b2"]
-        assert {"limit", "in_flight", "state"} <= set(value["servers"][0])
-        assert value["groups"] and value["queues"] and value["version"] == 3
-        assert value["members"][0]["instance"] == _HOSTILE_NAME
-
-    trio.run(run)
+@in_trio
+async def check_status_page(context):
+    await context.server.load()
+    node, app = context.server.node, context.server.node.operators.app
+    add_member(node, _HOSTILE_NAME)
+    node.metrics.count("hostile", reason=_HOSTILE_NAME)
+    headers = {"authorization": f"Bearer {context.server.token}"}
+    status, fields, body = await call_app(app, "GET", "/", b"", headers)
+    assert status == 200 and fields[b"content-type"].startswith(b"text/html")
+    assert b"<script" not in body and b"&lt;script" in body
+    status, value = await context.server.call("GET", "/status.json")
+    assert [server["server"] for server in value["servers"]] == ["b1", "b2"]
+    assert {"limit", "in_flight", "state"} <= set(value["servers"][0])
+    assert value["groups"] and value["queues"] and value["version"] == 3
+    assert value["members"][0]["instance"] == _HOSTILE_NAME
 
 
 @then("members not heard of recently are asked for their version")
-def check_versions_of_members(context):
-    async def run():
-        await context.server.load()
-        node = context.server.node
-        for name in ("heard", "silent", "gone"):
-            add_member(node, name, control=f"127.0.34.9:{len(name)}")
-
-        async def fetch(address, after, want_backends):
-            if address.endswith(":6"):
-                return ChangesReply(17, True)
-            raise PeerError(False, "refused")
-
-        node.transport.fetch = fetch
-        node.distribution.on_version("heard", 2)
-        status, reply = await context.server.call("GET", "/api/v1/versions")
-        assert reply["version"] == 3
-        peers = reply["peers"]
-        assert peers["heard"]["version"] == 2
-        assert peers["silent"]["version"] == 17
-        assert "refused" in peers["gone"]["error"]
-
-    trio.run(run)
+@in_trio
+async def check_versions_of_members(context):
+    await context.server.load()
+    node = context.server.node
+    for name in ("heard", "silent", "gone"):
+        add_member(node, name, control=f"127.0.34.9:{len(name)}")
+
+    async def fetch(address, after, want_backends):
+        if address.endswith(":6"):
+            return ChangesReply(17, True)
+        raise PeerError(False, "refused")
+
+    node.transport.fetch = fetch
+    node.distribution.on_version("heard", 2)
+    status, reply = await context.server.call("GET", "/api/v1/versions")
+    assert reply["version"] == 3
+    peers = reply["peers"]
+    assert peers["heard"]["version"] == 2
+    assert peers["silent"]["version"] == 17
+    assert "refused" in peers["gone"]["error"]
--- a/kumquatsaddle/platform/tests/steps/platform.py
+++ b/kumquatsaddle/platform/tests/steps/platform.py
@@ -15,6 +15,7 @@
 from kumquatsaddle.platform.http import HttpPlatform
 from kumquatsaddle.platform.interface import ListedInstance, parse_instances
 from kumquatsaddle.platform.memory import MemoryPlatform
+from kumquatsaddle.testing.runs import expect, in_trio
 from standins.http import Reply, serve_http
 from standins.platform import PlatformStandin
 
@@ -33,22 +34,13 @@
         nursery.cancel_scope.cancel()
 
 
-async def expect(error, function, *arguments):
-    try:
-        await function(*arguments)
-    except error as raised:
-        assert type(raised) is error, raised
-    else:
-        raise AssertionError(f"no {error.__name__}")
-
-
 async def use_everything(platform):
     """Use each method; return the results that do not depend on the version tags."""
     first = await platform.put_row("a/1 \u00fc%/?", {"x": 1}, None)
-    await expect(ConflictError, platform.put_row, "a/1 \u00fc%/?", {}, None)
+    await expect(ConflictError, platform.put_row("a/1 \u00fc%/?", {}, None))
     second = await platform.put_row("a/1 \u00fc%/?", {"x": 2}, first)
-    await expect(ConflictError, platform.put_row, "a/1 \u00fc%/?", {}, first)
-    await expect(ConflictError, platform.put_row, "a/2", {}, second)
+    await expect(ConflictError, platform.put_row("a/1 \u00fc%/?", {}, first))
+    await expect(ConflictError, platform.put_row("a/2", {}, second))
     await platform.put_row("a/3", {"y": None}, None)
     await platform.put_row("b/1", {}, None)
     await platform.write_object("o/1", bytes(range(256)))
@@ -61,9 +53,9 @@
         await platform.read_object("o/2"),
         list(await platform.list_instances()),
     ]
-    await expect(ConflictError, platform.delete_row, "a/3", first)
+    await expect(ConflictError, platform.delete_row("a/3", first))
     await platform.delete_row("a/1 \u00fc%/?", second)
-    await expect(ConflictError, platform.delete_row, "a/1 \u00fc%/?", second)
+    await expect(ConflictError, platform.delete_row("a/1 \u00fc%/?", second))
     return [*results, [row.key for row in await platform.list_rows("")]]
 
 
@@ -90,15 +82,13 @@
 
 
 @when("a change is committed through the HTTP client")
-def commit_with_losses(context):
-    async def run():
-        standin = PlatformStandin()
-        standin.faults.update(context.faults)
-        async with open_platform(standin.handle) as platform:
-            context.change = await commit_change(platform, 0, "service", "s", {})
-            context.log = await read_changes(platform, 0)
-
-    trio.run(run)
+@in_trio
+async def commit_with_losses(context):
+    standin = PlatformStandin()
+    standin.faults.update(context.faults)
+    async with open_platform(standin.handle) as platform:
+        context.change = await commit_change(platform, 0, "service", "s", {})
+        context.log = await read_changes(platform, 0)
 
 
 @then("it is accepted at one version and the log has it once")
@@ -112,23 +102,21 @@
 
 
 @when("a change is committed with a limit of 0.1 seconds for each call")
-def commit_with_delay(context):
-    async def run():
-        standin = PlatformStandin()
-        standin.faults.update(context.faults)
-        async with open_platform(standin.handle, 0.1) as platform:
-            commit = partial(commit_change, platform, 0, "service", "s", {})
-            try:
-                await commit(change_id="mine")
-                context.first = None
-            except ChangeUnknownError as error:
-                context.first = error
-            standin.faults["delay"] = 0.0
-            context.second = await commit(change_id="mine")
-            await trio.sleep(1.0)
-            context.log = await read_changes(platform, 0)
-
-    trio.run(run)
+@in_trio
+async def commit_with_delay(context):
+    standin = PlatformStandin()
+    standin.faults.update(context.faults)
+    async with open_platform(standin.handle, 0.1) as platform:
+        commit = partial(commit_change, platform, 0, "service", "s", {})
+        try:
+            await commit(change_id="mine")
+            context.first = None
+        except ChangeUnknownError as error:
+            context.first = error
+        standin.faults["delay"] = 0.0
+        context.second = await commit(change_id="mine")
+        await trio.sleep(1.0)
+        context.log = await read_changes(platform, 0)
 
 
 @then("its result is unknown and asking again finds it accepted once")
@@ -156,18 +144,16 @@
 
 
 @then("every method of the HTTP client raises the error of an unavailable platform")
-def check_unavailable(context):
-    async def run():
-        standin = PlatformStandin()
-        standin.faults.update(context.faults)
-        async with open_platform(standin.handle) as platform:
-            for call in list_calls(platform):
-                await expect(PlatformUnavailableError, call)
-        # Nobody listens any more.
+@in_trio
+async def check_unavailable(context):
+    standin = PlatformStandin()
+    standin.faults.update(context.faults)
+    async with open_platform(standin.handle) as platform:
         for call in list_calls(platform):
-            await expect(PlatformUnavailableError, call)
-
-    trio.run(run)
+            await expect(PlatformUnavailableError, call())
+    # Nobody listens any more.
+    for call in list_calls(platform):
+        await expect(PlatformUnavailableError, call())
 
 
 @then("hostile replies raise the error of an unavailable platform")
@@ -193,9 +179,9 @@
             async with open_platform(handle) as platform:
                 calls = list_calls(platform)
                 for call in (calls[0], calls[1], calls[3]):
-                    await expect(PlatformUnavailableError, call)
+                    await expect(PlatformUnavailableError, call())
                 if reply.body != b"[1, null]" and reply.body != b'[{"key": 1}]':
-                    await expect(PlatformUnavailableError, platform.list_instances)
+                    await expect(PlatformUnavailableError, platform.list_instances())
 
     trio.run(run)
 
--- a/kumquatsaddle/testing/configuration.py
+++ b/kumquatsaddle/testing/configuration.py
@@ -3,7 +3,6 @@
 import random
 
 import trio
-import trio.testing
 
 from kumquatsaddle.configuration.distribution import Distribution
 from kumquatsaddle.configuration.state import make_configuration
@@ -12,13 +11,7 @@
 from kumquatsaddle.metrics import make_metrics
 from kumquatsaddle.platform.memory import MemoryPlatform
 
-__all__ = ["FakeNetwork", "FakeNode", "FaultyPlatform", "run_with_mock_clock"]
-
-
-def run_with_mock_clock(function, *arguments):
-    """Run an async function on a clock that jumps over idle time."""
-    clock = trio.testing.MockClock(autojump_threshold=0)
-    return trio.run(function, *arguments, clock=clock)
+__all__ = ["FakeNetwork", "FakeNode", "FaultyPlatform"]
 
 
 class FaultyPlatform:
--- a/kumquatsaddle/testing/operators.py
+++ b/kumquatsaddle/testing/operators.py
@@ -3,6 +3,7 @@
 import json
 import secrets
 import socket
+import tempfile
 from pathlib import Path
 
 from kumquatsaddle.lifecycle.node import make_node
@@ -81,13 +82,15 @@
 
     Parameters
     ----------
-    folder : str or Path
     token : bool
         Whether it has an operators' token.
     """
 
-    def __init__(self, folder, token=True):
-        file, token_file = write_settings(folder, "127.0.34.1", token)
+    def __init__(self, token=True):
+        with tempfile.TemporaryDirectory() as folder:
+            self._make_node(*write_settings(folder, "127.0.34.1", token))
+
+    def _make_node(self, file, token_file):
         self.token = token_file.read_text()
         self.node, _ = make_node(load_settings(file))
 
