--- a/kumquatsaddle/dispatch/dispatcher.py
+++ b/kumquatsaddle/dispatch/dispatcher.py
@@ -129,8 +129,9 @@
 
     async def close(self):
         """Close all idle connections."""
-        for pool in self.pools.values():
-            for server in pool.servers.values():
+        # The pools may change while a connection closes.
+        for pool in list(self.pools.values()):
+            for server in list(pool.servers.values()):
                 await server.close()
 
     async def _take_slot(self, pool, request, excluded):
--- a/kumquatsaddle/entry/callers.py
+++ b/kumquatsaddle/entry/callers.py
@@ -42,6 +42,9 @@
         self._refused = 0
         self._listeners = []
         self._accepting = trio.CancelScope()
+        # Set while no listener may hold a connection that is not accepted yet.
+        self._accepted_all = trio.Event()
+        self._accepted_all.set()
         self._context = make_caller_context(node.settings)
 
     async def run(self, address, task_status=trio.TASK_STATUS_IGNORED):
@@ -49,15 +52,19 @@
         self._listeners = await trio.open_tcp_listeners(
             address.port, host=address.host, backlog=_BACKLOG
         )
+        self._accepted_all = trio.Event()
         task_status.started(self._listeners)
         async with trio.open_nursery() as connections:
-            with self._accepting:
-                async with trio.open_nursery() as acceptors:
-                    for listener in self._listeners:
-                        acceptors.start_soon(self._accept, listener, connections)
-            await self._accept_backlog(connections)
-            for listener in self._listeners:
-                await listener.aclose()
+            try:
+                with self._accepting:
+                    async with trio.open_nursery() as acceptors:
+                        for listener in self._listeners:
+                            acceptors.start_soon(self._accept, listener, connections)
+                await self._accept_backlog(connections)
+            finally:
+                for listener in self._listeners:
+                    listener.socket.close()
+                self._accepted_all.set()
 
     async def drain(self, notice, grace):
         """Stop accepting callers after `notice` and wait for the work in flight.
@@ -73,7 +80,7 @@
         await trio.sleep(notice)
         self._accepting.cancel()
         with trio.move_on_after(grace):
-            await trio.sleep(0)
+            await self._accepted_all.wait()
             while self._connections:
                 for connection in list(self._connections):
                     connection.close_if_idle()
--- a/kumquatsaddle/entry/control.py
+++ b/kumquatsaddle/entry/control.py
@@ -1,7 +1,8 @@
-"""The TCP server for other instances: forwarded requests, one task a connection."""
+"""The TCP server for other instances: forwarded requests and missing changes."""
 
 import trio
 
+from kumquatsaddle.configuration.transport import write_changes_reply
 from kumquatsaddle.dispatch.peers import read_headers, write_answer
 from kumquatsaddle.entry.proxy import make_proxy
 from kumquatsaddle.exceptions import MessageError
@@ -154,6 +155,16 @@
     await link.send(reply)
 
 
+@control_handlers.register("fetchChanges")
+async def _answer_fetch(server, envelope, link):
+    node = server.node
+    body = envelope.fetchChanges
+    reply = await node.distribution.answer_fetch(body.after, body.wantBackends)
+    message = node.codec.new_envelope(node.configuration.version)
+    write_changes_reply(message, body.number, reply)
+    await link.send(message)
+
+
 def make_control_server(node):
     """Return the server for the peers of a node."""
     return ControlServer(node)
--- a/kumquatsaddle/lifecycle/node.py
+++ b/kumquatsaddle/lifecycle/node.py
@@ -4,9 +4,9 @@
 the placement and the list of backend servers; every other state belongs to its part.
 """
 
-import random
 import secrets
 import time
+from dataclasses import asdict
 
 import trio
 
@@ -16,16 +16,19 @@
 from kumquatsaddle.addresses.placement import make_placement
 from kumquatsaddle.admission.limits import TokenBucket, make_limits
 from kumquatsaddle.clocks import make_steady_clock
-from kumquatsaddle.configuration.changes import read_changes, seed_changes
+from kumquatsaddle.configuration.changes import change_key, seed_changes
+from kumquatsaddle.configuration.distribution import make_distribution
 from kumquatsaddle.configuration.state import make_configuration
+from kumquatsaddle.configuration.transport import GossipTransport
 from kumquatsaddle.dispatch.digests import make_digests
 from kumquatsaddle.dispatch.dispatcher import make_dispatcher
 from kumquatsaddle.dispatch.peers import make_links
 from kumquatsaddle.entry.callers import make_caller_server
 from kumquatsaddle.entry.control import make_control_server
+from kumquatsaddle.entry.operators import make_operators_server
 from kumquatsaddle.entry.proxy import make_proxy
 from kumquatsaddle.entry.tls import make_caller_context
-from kumquatsaddle.exceptions import ConfigurationError, PlatformError, SettingsError
+from kumquatsaddle.exceptions import ConflictError, SettingsError
 from kumquatsaddle.health.newcomers import Newcomers
 from kumquatsaddle.health.probes import watch_pools
 from kumquatsaddle.lifecycle.application import make_application
@@ -103,13 +106,22 @@
         self.links = None
         self.callers = None
         self._nursery = None
+        self.transport = GossipTransport(self.table, self.gossip)
+        self.distribution = make_distribution(
+            self.configuration,
+            self.platform,
+            self.transport,
+            self.metrics,
+            lambda: settings.get("platform", "poll_interval"),
+            self._take_list,
+        )
+        self.operators = make_operators_server(self)
         self.backends = []
         self.newcomers = Newcomers()
         self.placement = make_placement((), (), ())
         self._placement_key = None
         self._held_groups = {}
         self._home_orders = {}
-        self._wake = trio.Event()
 
     @property
     def name(self):
@@ -173,17 +185,15 @@
             self.newcomers.current(trio.current_time()),
         )
 
-    async def refresh(self):
-        """Read the list of instances and the change log from the platform.
+    def _note_version(self, member, version):
+        self.distribution.on_version(member, version)
 
-        Raises
-        ------
-        PlatformError
-            If the platform cannot be reached; what is in force stays.
-        """
-        for change in await read_changes(self.platform, self.configuration.version):
-            self.configuration.apply_change(change)
-        listed = await self.platform.list_instances()
+    def _take_list(self):
+        """Take over the list of backend servers and the drains of operators."""
+        if self.distribution.backends is None:
+            # There is no list yet, which is not the same as an empty one.
+            return
+        drains = self.configuration.drains
         self.backends = [
             Backend(
                 BackendId(entry.name),
@@ -191,51 +201,40 @@
                 entry.address,
                 entry.zone,
                 entry.region,
-                entry.leaving,
+                entry.leaving or entry.name in drains,
             )
-            for entry in listed
-            if entry.role == "backend"
+            for entry in self.distribution.backends
         ]
         names = [backend.name for backend in self.backends]
         self.newcomers.update(names, trio.current_time())
         self.gossip.seeds |= {
-            entry.address for entry in listed if entry.role == "entry"
+            entry.address for entry in self.distribution.listed if entry.role == "entry"
         }
-        await self.update_placement()
 
     def start_background(self, function, *arguments):
         """Run an async function as a task of the node."""
         self._nursery.start_soon(function, *arguments)
 
-    def _note_version(self, member, version):
-        if version > self.configuration.version:
-            self._wake.set()
+    async def _write_seeds(self):
+        """Write the configuration of the settings to the embedded platform."""
+        changes = list(seed_changes(self.settings.seeds))
+        self.distribution.apply_changes(changes)
+        for change in changes:
+            try:
+                await self.platform.put_row(
+                    change_key(change.version), asdict(change), None
+                )
+            except ConflictError:
+                # Another instance of this process shares the platform.
+                return
 
-    async def _load_first(self, nursery):
-        for change in seed_changes(self.settings.seeds):
-            self.configuration.apply_change(change)
+    async def _load_first(self):
+        if self.settings.get("platform", "kind") == "memory":
+            await self._write_seeds()
         self.gossip.seeds |= {
             str(address) for address in self.settings.get("membership", "seeds")
         }
-        while True:
-            try:
-                await self.refresh()
-                return
-            except (PlatformError, ConfigurationError) as error:
-                log_event("refresh_failed", level="WARNING", error=error)
-                await trio.sleep(1.0)
-
-    async def _poll_platform(self):
-        rng = random.Random()
-        while True:
-            interval = self.settings.get("platform", "poll_interval")
-            with trio.move_on_after(interval * rng.uniform(0.5, 1.5)):
-                await self._wake.wait()
-            self._wake = trio.Event()
-            try:
-                await self.refresh()
-            except (PlatformError, ConfigurationError) as error:
-                log_event("refresh_failed", level="WARNING", error=error)
+        await self.distribution.load_first()
 
     async def _watch_placement(self):
         while True:
@@ -247,16 +246,19 @@
         self._nursery = nursery
         nursery.start_soon(self.pauses.run)
         listen = self.settings.get("listen", "control")
-        self.links = make_links(self.codec, nursery)
+        self.links = self.transport.links = make_links(self.codec, nursery)
         await nursery.start(self.gossip.run, listen)
         self.control = make_control_server(self)
         await nursery.start(self.control.run, listen)
         self.callers = make_caller_server(self, make_proxy(self))
         await nursery.start(self.callers.run, self.settings.get("listen", "callers"))
-        await self._load_first(nursery)
+        await nursery.start(
+            self.operators.run, self.settings.get("listen", "operators")
+        )
+        await self._load_first()
         self.gossip.set_own_state(InstanceState.ALIVE)
         await self.update_placement()
-        nursery.start_soon(self._poll_platform)
+        nursery.start_soon(self.distribution.run)
         nursery.start_soon(self._watch_placement)
         nursery.start_soon(watch_pools, self.dispatcher.pools)
 
--- a/kumquatsaddle/platform/__init__.py
+++ b/kumquatsaddle/platform/__init__.py
@@ -5,15 +5,18 @@
 
 from kumquatsaddle.platform.http import make_http_platform
 from kumquatsaddle.platform.interface import (
+    InstanceList,
     ListedInstance,
     Platform,
     Row,
     make_platform,
+    parse_instances,
     platforms,
 )
 from kumquatsaddle.platform.memory import MemoryPlatform, make_memory_platform
 
 __all__ = [
+    "InstanceList",
     "ListedInstance",
     "MemoryPlatform",
     "Platform",
@@ -21,5 +24,6 @@
     "make_http_platform",
     "make_memory_platform",
     "make_platform",
+    "parse_instances",
     "platforms",
 ]
--- a/kumquatsaddle/platform/interface.py
+++ b/kumquatsaddle/platform/interface.py
@@ -1,12 +1,22 @@
 """The narrow interface to the platform and the registry of its implementations."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, fields
 from typing import Protocol
 
+from kumquatsaddle.logs import log_event
 from kumquatsaddle.registries import Registry
+from kumquatsaddle.settings.parsers import parse_address
 from kumquatsaddle.types import RegionId, ServiceName, ZoneId
 
-__all__ = ["ListedInstance", "Platform", "Row", "make_platform", "platforms"]
+__all__ = [
+    "InstanceList",
+    "ListedInstance",
+    "Platform",
+    "Row",
+    "make_platform",
+    "parse_instances",
+    "platforms",
+]
 
 platforms = Registry("platform")
 
@@ -49,6 +59,21 @@
     leaving: bool = False
 
 
+class InstanceList(list):
+    """The platform's list of instances and when it was read.
+
+    Parameters
+    ----------
+    entries : iterable of ListedInstance
+    read_at : float
+        Seconds since the epoch by the clock of the platform.
+    """
+
+    def __init__(self, entries=(), read_at=0.0):
+        super().__init__(entries)
+        self.read_at = read_at
+
+
 class Platform(Protocol):
     """What the fleet asks of the platform.
 
@@ -91,7 +116,7 @@
     async def write_object(self, key: str, data: bytes) -> None:
         """Write an object."""
 
-    async def list_instances(self) -> list[ListedInstance]:
+    async def list_instances(self) -> InstanceList:
         """Return the instances known to the platform."""
 
 
@@ -107,3 +132,45 @@
     Platform
     """
     return platforms.get(settings.get("platform", "kind"))(settings)
+
+
+def parse_instances(entries):
+    """Return the valid entries of a list of instances.
+
+    An invalid entry is logged and left out, so that it takes no other one with it.
+
+    Parameters
+    ----------
+    entries : list of dict
+        JSON values.
+
+    Returns
+    -------
+    list of ListedInstance
+
+    Raises
+    ------
+    ValueError
+        If it is not a list.
+    """
+    if not isinstance(entries, list):
+        raise ValueError("is not a list")
+    listed = []
+    for entry in entries:
+        try:
+            listed.append(_parse_instance(entry))
+        except (TypeError, ValueError) as error:
+            log_event("listed_instance_invalid", level="WARNING", error=error)
+    return listed
+
+
+def _parse_instance(entry):
+    instance = ListedInstance(**entry)
+    for field in fields(ListedInstance):
+        kind = bool if field.name == "leaving" else str
+        if not isinstance(getattr(instance, field.name), kind):
+            raise ValueError(f"{field.name} is not a {kind.__name__}")
+    if not instance.name:
+        raise ValueError("name is empty")
+    parse_address(instance.address)
+    return instance
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -62,9 +62,11 @@
         except subprocess.TimeoutExpired as error:
             output = (error.stdout or b"").decode(errors="replace")
             return {f"{folder}: timeout": "failed"}, output
-        if not report.exists() or not report.read_text().strip():
+        try:
+            results = _read_report(json.loads(report.read_text()))
+        except (OSError, ValueError):
+            # behave ended early, or wrote a report that is not whole.
             return {f"{folder}: no report": "failed"}, run.stdout
-        results = _read_report(json.loads(report.read_text()))
     if run.returncode and "failed" not in results.values():
         results[f"{folder}: exit status {run.returncode}"] = "failed"
     return results, run.stdout
