Exchange member tables and check messages fully

The thin gossip spread its own record all the time, lost news for good after a loss of datagrams, and messages raised when their fields were read.

Joining instances fetch the table over TCP, probes carry a table digest that triggers a fetch, suspects are pinged before they are declared dead, and the codec walks a message once when it opens it.

--- a/kumquatsaddle/dispatch/digests.py
+++ b/kumquatsaddle/dispatch/digests.py
@@ -2,12 +2,31 @@
 
 from dataclasses import dataclass
 
-from kumquatsaddle.types import InstanceId, ServiceName
-
-__all__ = ["DigestBook", "ServiceDigest", "make_digests"]
+from kumquatsaddle.exceptions import MessageError
+from kumquatsaddle.types import InstanceId, MessageRejection, ServiceName
+
+__all__ = [
+    "DigestBook",
+    "ServiceDigest",
+    "choose_digests",
+    "make_digests",
+    "read_digests",
+    "write_digests",
+]
 
 # Age in seconds above which a digest is not used.
 _LONGEST_AGE = 10.0
+# Homes that are told in one second. With 13 homes of a service each hears each other
+# one every 4 s.
+_HOMES_PER_SECOND = 3
+# Services in one message; keeps a datagram below 1,400 bytes with names of 64 bytes.
+_SERVICES_PER_MESSAGE = 8
+_MAX_NAME_BYTES = 64
+# Digests kept; the target size has 110 services with 10 homes each.
+_MAX_ENTRIES = 8192
+_MILLISECONDS = 1000.0
+_MAX_UINT16 = 0xFFFF
+_MAX_UINT32 = 0xFFFFFFFF
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,9 +59,16 @@
 
     def __init__(self):
         self._entries = {}
+        self._count = 0
 
     def record(self, instance: InstanceId, digest: ServiceDigest, now):
         """Keep a digest; `now` is in seconds."""
+        if instance not in self._entries.get(digest.service, ()):
+            if self._count >= _MAX_ENTRIES:
+                self._prune(now)
+            if self._count >= _MAX_ENTRIES:
+                return
+            self._count += 1
         self._entries.setdefault(digest.service, {})[instance] = (digest, now)
 
     def current(self, service, now):
@@ -52,14 +78,98 @@
         -------
         dict of InstanceId to ServiceDigest
         """
+        self._prune_service(service, now)
         entries = self._entries.get(service, {})
-        for name in [
-            n for n, (_, time) in entries.items() if now - time > _LONGEST_AGE
-        ]:
-            del entries[name]
         return {name: digest for name, (digest, _) in entries.items()}
 
+    def _prune(self, now):
+        for service in list(self._entries):
+            self._prune_service(service, now)
+
+    def _prune_service(self, service, now):
+        entries = self._entries.get(service, {})
+        old = [name for name, (_, time) in entries.items() if now - time > _LONGEST_AGE]
+        for name in old:
+            del entries[name]
+        self._count -= len(old)
+        if not entries:
+            self._entries.pop(service, None)
+
 
 def make_digests():
     """Return a book without digests."""
     return DigestBook()
+
+
+def choose_digests(digests, homes_of, own, rng):
+    """Choose the homes that are told this second, and what each is told.
+
+    Parameters
+    ----------
+    digests : iterable of ServiceDigest
+        Of the services at this instance.
+    homes_of : callable
+        Takes a service; returns the names of its homes.
+    own : InstanceId
+    rng : random.Random
+
+    Returns
+    -------
+    dict of InstanceId to list of ServiceDigest
+        At most 3 homes; each is told only of services that it is home of.
+    """
+    wanted = {}
+    for digest in digests:
+        for home in homes_of(digest.service):
+            if home != own:
+                wanted.setdefault(home, []).append(digest)
+    chosen = rng.sample(sorted(wanted), min(_HOMES_PER_SECOND, len(wanted)))
+    return {
+        home: rng.sample(wanted[home], min(_SERVICES_PER_MESSAGE, len(wanted[home])))
+        for home in chosen
+    }
+
+
+def write_digests(envelope, digests):
+    """Fill a ``digest`` message from a list of `ServiceDigest`."""
+    builders = envelope.init("digest").init("services", len(digests))
+    for builder, digest in zip(builders, digests, strict=True):
+        builder.service = digest.service
+        builder.medianMs = digest.median * _MILLISECONDS
+        builder.p99Ms = digest.p99 * _MILLISECONDS
+        builder.samples = min(digest.samples, _MAX_UINT32)
+        builder.freeSlots = max(0, min(digest.free_slots, _MAX_UINT16))
+        builder.queued = max(0, min(digest.queued, _MAX_UINT16))
+
+
+def read_digests(envelope):
+    """Return the digests of a ``digest`` message.
+
+    Returns
+    -------
+    list of ServiceDigest
+
+    Raises
+    ------
+    MessageError
+        If there are more than 8, a name is too long or a latency is no time.
+    """
+    readers = envelope.digest.services
+    if len(readers) > _SERVICES_PER_MESSAGE:
+        raise MessageError(MessageRejection.TOO_LONG.value)
+    return [_read_digest(reader) for reader in readers]
+
+
+def _read_digest(reader):
+    times = (reader.medianMs / _MILLISECONDS, reader.p99Ms / _MILLISECONDS)
+    if not all(0 <= time < float("inf") for time in times):
+        raise MessageError(f"{MessageRejection.MALFORMED.value}: latency {times}")
+    if len(reader.service.encode()) > _MAX_NAME_BYTES:
+        raise MessageError(f"{MessageRejection.MALFORMED.value}: service name")
+    return ServiceDigest(
+        ServiceName(reader.service),
+        *times,
+        reader.samples,
+        reader.freeSlots,
+        reader.queued,
+    )
--- /dev/null
+++ b/kumquatsaddle/membership/exchange.py
@@ -0,0 +1,68 @@
+"""The exchange of the whole member table over TCP: ``hello`` and ``members``."""
+
+from kumquatsaddle.exceptions import MessageError
+from kumquatsaddle.membership.members import read_member, write_member
+from kumquatsaddle.types import MessageRejection
+
+__all__ = ["fill_hello", "fill_members", "read_members", "take_hello"]
+
+# Members in one table; the target size is 520 and those that died within two hours.
+_MAX_MEMBERS = 8192
+
+
+def fill_hello(envelope, number, own):
+    """Fill a ``hello`` message, which asks for the table and introduces `own`."""
+    body = envelope.init("hello")
+    body.number = number
+    write_member(body.init("member"), own)
+
+
+def fill_members(envelope, number, table):
+    """Fill a ``members`` message with all members of a table."""
+    body = envelope.init("members")
+    body.number = number
+    builders = body.init("members", len(table.members))
+    for builder, member in zip(builders, table.members.values(), strict=True):
+        write_member(builder, member)
+
+
+def read_members(envelope):
+    """Return the members of a ``members`` message.
+
+    Returns
+    -------
+    list of Member
+
+    Raises
+    ------
+    MessageError
+        If it is another message, too long or malformed.
+    """
+    if envelope.which() != "members":
+        raise MessageError(MessageRejection.UNEXPECTED.value)
+    readers = envelope.members.members
+    if len(readers) > _MAX_MEMBERS:
+        raise MessageError(MessageRejection.TOO_LONG.value)
+    return [_read(reader) for reader in readers]
+
+
+def take_hello(envelope, gossip):
+    """Merge the introduction of a ``hello`` message into the table of a gossip.
+
+    Raises
+    ------
+    MessageError
+        If the member is malformed or not the sender.
+    """
+    member = _read(envelope.hello.member)
+    if (member.name, member.incarnation) != (envelope.sender, envelope.incarnation):
+        raise MessageError(MessageRejection.UNKNOWN_SENDER.value)
+    gossip.learn(member)
+
+
+def _read(reader):
+    try:
+        return read_member(reader)
+    except ValueError as error:
+        reason = MessageRejection.MALFORMED.value
+        raise MessageError(f"{reason}: {error}") from None
--- a/kumquatsaddle/membership/gossip.py
+++ b/kumquatsaddle/membership/gossip.py
@@ -2,38 +2,68 @@
 
 Each period one peer is probed directly and, when it does not answer, through others.
 News of members travels on the probes and their answers.
+
+References
+----------
+Das, Gupta and Motivala, SWIM: Scalable Weakly-consistent Infection-style Process Group
+Membership Protocol, 2002.
+Dadgar, Phillips and Currey, Lifeguard: Local Health Awareness for More Accurate
+Failure Detection, 2018.
 """
 
-import math
 import random
 
 import trio
 
+from kumquatsaddle.dispatch.digests import read_digests, write_digests
 from kumquatsaddle.exceptions import MessageError
 from kumquatsaddle.logs import log_event
-from kumquatsaddle.membership.members import read_member, write_member
-from kumquatsaddle.settings.parsers import parse_address
-from kumquatsaddle.types import InstanceState
+from kumquatsaddle.membership.health import LONGEST_LAG, make_local_health
+from kumquatsaddle.membership.members import LIVE, locate, read_member, write_member
+from kumquatsaddle.membership.news import make_news
+from kumquatsaddle.membership.reconcile import make_reconciler
+from kumquatsaddle.membership.transport import open_datagrams
+from kumquatsaddle.messages.codec import find_reason
+from kumquatsaddle.types import InstanceState, MessageRejection
 
 __all__ = ["Gossip", "make_gossip"]
 
 _DATAGRAM_BYTES = 65536
 # Part of the probe interval within which a direct probe must be answered.
 _DIRECT_SHARE = 0.3
+# Pings of one direct probe; at 20% loss one round trip in three fails.
+_PING_ATTEMPTS = 2
 _INDIRECT_PROBES = 3
-# News in one datagram; keeps it below 1,400 bytes.
-_NEWS_PER_DATAGRAM = 8
-# News is sent this often times log2 of the number of members.
-_SPREAD_FACTOR = 3
-# Probe intervals between attempts to reach dead members and seeds.
-_REJOIN_PERIODS = 5
-_LIVE = (
-    InstanceState.JOINING,
-    InstanceState.ALIVE,
-    InstanceState.IMPAIRED,
-    InstanceState.LEAVING,
-    InstanceState.SUSPECT,
-)
+# Suspects that are pinged directly in one period, so that a live one can refute.
+_CONFIRMATIONS_PER_PERIOD = 4
+# Peers that are told at once of a change of this instance.
+_ANNOUNCE_PEERS = 3
+# Members in one datagram, and probes relayed for others at a time.
+_MAX_UPDATES = 64
+_MAX_RELAYS = 32
+# Pause in seconds after an error of the socket.
+_ERROR_PAUSE = 0.05
+_PROBES = ("ping", "ack", "pingRequest")
+
+
+class _Answer:
+    """What came back for a probe."""
+
+    __slots__ = ("number", "event", "numbers", "digest")
+
+    def __init__(self, number):
+        self.number = number
+        self.event = trio.Event()
+        self.numbers = set()
+        self.digest = None
+
+    @property
+    def answered(self):
+        return self.event.is_set()
+
+    @property
+    def direct(self):
+        return self.number in self.numbers
 
 
 class Gossip:
@@ -51,6 +81,21 @@
     on_version : callable
         Called with a member name and the configuration version it told.
     rng : random.Random, optional
+    open_socket : callable, optional
+        Async; takes an address and returns a socket, see
+        `kumquatsaddle.membership.transport`.
+
+    Attributes
+    ----------
+    seeds : set of str
+        Control addresses to join through.
+    unreachable : set of InstanceId
+        Live peers that only others can reach.
+    fetch_table : callable or None
+        Async; takes a control address and the own member, and returns the members
+        of that peer's table.
+    on_digest : callable or None
+        Called with a member name and a list of `ServiceDigest`.
     """
 
     def __init__(
@@ -63,140 +108,277 @@
         get_version,
         on_version,
         rng=None,
+        open_socket=open_datagrams,
     ):
         self.table = table
         self.metrics = metrics
+        self.health = make_local_health()
         self.seeds = set()
         self.unreachable = set()
+        self.fetch_table = None
+        self.on_digest = None
         self._codec = codec
         self._interval = probe_interval
         self._suspicion_timeout = suspicion_timeout
         self._get_version = get_version
         self._on_version = on_version
         self._rng = rng or random.Random()
+        self._open_socket = open_socket
+        self._reconciler = make_reconciler(self, probe_interval, self._rng)
         self._socket = None
+        self._nursery = None
         self._number = 0
         self._waiting = {}
-        self._news = {}
+        self._news = make_news()
         self._order = []
+        self._relays = 0
+        for reason in MessageRejection:
+            metrics.count("messages_rejected", 0, reason=reason.value)
 
     async def run(self, address, task_status=trio.TASK_STATUS_IGNORED):
         """Bind the socket and keep the table until cancelled."""
-        family = trio.socket.AF_INET6 if ":" in address.host else trio.socket.AF_INET
-        self._socket = trio.socket.socket(family, trio.socket.SOCK_DGRAM)
-        with self._socket:
-            await self._socket.bind((address.host, address.port))
-            task_status.started()
+        self._socket = await self._open_socket(address)
+        try:
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._receive, nursery)
-                nursery.start_soon(self._probe_peers, nursery)
-                nursery.start_soon(self._rejoin)
+                self._nursery = nursery
+                self.spread(self.table.own)
+                nursery.start_soon(self._receive)
+                nursery.start_soon(self._probe_peers)
+                nursery.start_soon(self._reconciler.run)
+                task_status.started()
+        finally:
+            self._nursery = None
+            self._socket.close()
 
     def spread(self, news):
         """Queue news of a member for the next datagrams."""
         if news is not None:
-            count = _SPREAD_FACTOR * math.ceil(math.log2(len(self.table.members) + 1))
-            self._news[news.name] = [news, max(_SPREAD_FACTOR, count)]
+            self._news.add(news, len(self.table.members))
+
+    def learn(self, news, spread=True):
+        """Merge news of a member and refute it if it is wrong about this instance.
+
+        Parameters
+        ----------
+        news : Member
+        spread : bool
+            Whether to pass news of other members on.
+        """
+        before = self.table.members.get(news.name)
+        merged = self.table.merge(news, trio.current_time())
+        if merged is None:
+            return
+        if merged is self.table.own:
+            self.metrics.count("refutations")
+            self._publish_own()
+            return
+        if merged.state is InstanceState.DEAD:
+            self.unreachable.discard(news.name)
+        elif before is not None and before.incarnation != merged.incarnation:
+            self.unreachable.discard(news.name)
+        if spread:
+            self.spread(merged)
 
-    def set_own_state(self, state):
+    def set_own_state(self, state, impairment=None):
         """Change the state of this instance and spread it."""
-        self.spread(self.table.set_own_state(state, trio.current_time()))
+        now = trio.current_time()
+        if self.table.set_own_state(state, now, impairment) is not None:
+            self._publish_own()
 
     async def announce(self, count=None):
         """Send the queued news to `count` random peers (default: all) at once."""
-        peers = self.table.peers(*_LIVE)
+        peers = self.table.peers(*LIVE)
         if count is not None and count < len(peers):
             peers = self._rng.sample(peers, count)
         for peer in peers:
-            await self._send(peer.control, self._make("ping", self._next_number()))
+            await self.tell(peer.control)
+
+    async def tell(self, address, first=()):
+        """Send one ping without waiting for its answer; `first` is news to carry."""
+        await self._send(address, self._make("ping", self._next_number(), first))
+
+    async def send_digests(self, name, digests):
+        """Send a list of `ServiceDigest` to a member; unknown ones are left out."""
+        member = self.table.members.get(name)
+        if member is not None and member.state in LIVE:
+            envelope = self._codec.new_envelope(self._get_version())
+            write_digests(envelope, digests)
+            await self._send(member.control, envelope)
+
+    async def ping(self, address, first=()):
+        """Ping an address up to twice and return what came back."""
+        answer = self._expect()
+        try:
+            await self._ping_for(answer, address, first)
+        finally:
+            del self._waiting[answer.number]
+        return answer
+
+    async def _ping_for(self, answer, address, first=()):
+        timeout = self._interval * _DIRECT_SHARE / _PING_ATTEMPTS
+        for attempt in range(_PING_ATTEMPTS):
+            # A peer that does not know this instance drops the first one.
+            news = [*first, self.table.own] if attempt else first
+            await self._send(address, self._make("ping", answer.number, news))
+            with trio.move_on_after(timeout):
+                await answer.event.wait()
+            if answer.answered:
+                return
 
-    async def _receive(self, nursery):
+    async def _receive(self):
         while True:
             try:
                 data, source = await self._socket.recvfrom(_DATAGRAM_BYTES)
-                envelope = self._codec.open(data)
-                await self._handle(envelope, source, nursery)
+            except OSError as error:
+                log_event("datagram_not_received", level="DEBUG", error=error)
+                await trio.sleep(_ERROR_PAUSE)
+                continue
+            self.metrics.count("control_bytes_received", len(data))
+            try:
+                await self._handle(self._codec.open(data), source)
             except MessageError as error:
-                self.metrics.count("messages_rejected", reason=str(error).split(":")[0])
-            except (ValueError, OSError) as error:
-                self.metrics.count("messages_rejected", reason="malformed")
-                log_event("message_rejected", level="DEBUG", error=error)
-
-    async def _handle(self, envelope, source, nursery):
-        kind = str(envelope.which())
-        if kind not in ("ping", "ack", "pingRequest"):
-            raise MessageError("unexpected")
-        body = getattr(envelope, kind)
-        self._merge(body.updates)
+                self.metrics.count("messages_rejected", reason=find_reason(error))
+
+    async def _handle(self, envelope, source):
+        kind = envelope.which()
+        if kind == "digest":
+            self._check_sender(envelope)
+            digests = read_digests(envelope)
+            if self.on_digest is not None:
+                self.on_digest(envelope.sender, digests)
+        elif kind in _PROBES:
+            await self._handle_probe(kind, envelope, source)
+        else:
+            raise MessageError(MessageRejection.UNEXPECTED.value)
         self._on_version(envelope.sender, envelope.configVersion)
+
+    async def _handle_probe(self, kind, envelope, source):
+        body = getattr(envelope, kind)
+        updates = _read_updates(body)
+        answer = self._waiting.get(body.number) if kind == "ack" else None
+        if answer is None:
+            self._check_sender(envelope, updates)
+        for member in updates:
+            self.learn(member)
+        self._reconciler.note_digest(envelope.sender, body.tableDigest)
         if kind == "ping":
-            await self._send_to(source, self._make("ack", body.number))
-        elif kind == "ack":
-            event = self._waiting.pop(body.number, None)
-            if event is not None:
-                event.set()
+            record = self.table.members.get(envelope.sender)
+            first = [record] if record is not None and _is_doubted(record) else ()
+            await self._send_to(source, self._make("ack", body.number, first))
+        elif kind == "pingRequest":
+            self._start_relay(body.target, body.number, source)
+        elif answer is not None:
+            answer.numbers.add(body.number)
+            answer.digest = body.tableDigest
+            answer.event.set()
         else:
-            address = parse_address(body.target)
-            nursery.start_soon(self._relay_probe, address, body.number, source)
+            self.metrics.count("probe_answers_late")
+
+    def _check_sender(self, envelope, updates=()):
+        known = self.table.members.get(envelope.sender)
+        for member in (known, *updates):
+            if member is not None and member.name == envelope.sender:
+                if member.incarnation == envelope.incarnation:
+                    return
+        raise MessageError(MessageRejection.UNKNOWN_SENDER.value)
 
-    async def _relay_probe(self, address, number, source):
-        if await self._ping(str(address), self._interval * _DIRECT_SHARE):
-            await self._send_to(source, self._make("ack", number))
+    def _start_relay(self, target, number, source):
+        try:
+            locate(target)
+        except ValueError as error:
+            reason = MessageRejection.MALFORMED.value
+            raise MessageError(f"{reason}: {error}") from None
+        if self._relays >= _MAX_RELAYS:
+            raise MessageError(MessageRejection.OVERLOAD.value)
+        self._relays += 1
+        self._nursery.start_soon(self._relay_probe, target, number, source)
+
+    async def _relay_probe(self, target, number, source):
+        try:
+            answer = await self.ping(target)
+            if answer.answered:
+                await self._send_to(source, self._make("ack", number))
+        finally:
+            self._relays -= 1
 
-    async def _probe_peers(self, nursery):
+    async def _probe_peers(self):
         while True:
-            await trio.sleep(self._interval * self._rng.uniform(0.9, 1.1))
-            for news in self.table.expire(trio.current_time(), self._suspicion_timeout):
-                log_event("member_dead", member=news.name)
-                self.spread(news)
+            pause = self._interval * self._rng.uniform(0.9, 1.1)
+            due = trio.current_time() + pause
+            await trio.sleep(pause)
+            self._note_lag(trio.current_time() - due)
+            self._expire()
+            self._confirm_suspects()
             peer = self._next_peer()
             if peer is not None:
-                nursery.start_soon(self._probe, peer)
+                self._nursery.start_soon(self._probe, peer)
+
+    def _note_lag(self, lag):
+        self.health.note_lag(lag)
+        if lag > LONGEST_LAG:
+            # Answers and refutations that arrived meanwhile are not read yet.
+            self.table.delay_suspicions(lag)
+
+    def _expire(self):
+        timeout = self._suspicion_timeout * self.health.multiplier
+        for news in self.table.expire(trio.current_time(), timeout):
+            log_event("member_dead", member=news.name)
+            self.metrics.count("members_declared_dead")
+            self.unreachable.discard(news.name)
+            self.spread(news)
+
+    def _confirm_suspects(self):
+        suspects = self.table.peers(InstanceState.SUSPECT)
+        count = min(_CONFIRMATIONS_PER_PERIOD, len(suspects))
+        for member in self._rng.sample(suspects, count):
+            self._nursery.start_soon(self.ping, member.control, [member])
 
     async def _probe(self, peer):
-        if await self._ping(peer.control, self._interval * _DIRECT_SHARE):
-            self.unreachable.discard(peer.name)
-            return
-        self.unreachable.add(peer.name)
-        others = [entry for entry in self.table.peers(*_LIVE) if entry != peer]
-        helpers = self._rng.sample(others, min(_INDIRECT_PROBES, len(others)))
-        number, event = self._expect()
-        for helper in helpers:
+        answer = self._expect()
+        relayed = self._next_number()
+        self._waiting[relayed] = answer
+        try:
+            first = [peer] if _is_doubted(peer) else ()
+            await self._ping_for(answer, peer.control, first)
+            if not answer.answered:
+                await self._ask_helpers(answer, relayed, peer)
+        finally:
+            del self._waiting[answer.number], self._waiting[relayed]
+        self._judge(peer, answer)
+
+    async def _ask_helpers(self, answer, number, peer):
+        others = [entry for entry in self.table.peers(*LIVE) if entry.name != peer.name]
+        count = min(_INDIRECT_PROBES, len(others))
+        for helper in self._rng.sample(others, count):
             message = self._make("pingRequest", number)
             message.pingRequest.target = peer.control
             await self._send(helper.control, message)
         with trio.move_on_after(self._interval * (1 - _DIRECT_SHARE)):
-            await event.wait()
-        self._waiting.pop(number, None)
-        if not event.is_set():
+            await answer.event.wait()
+
+    def _judge(self, peer, answer):
+        self.health.note_probe(answer.answered)
+        known = self.table.members.get(peer.name)
+        if known is None or known.incarnation != peer.incarnation:
+            return
+        if answer.direct:
+            self.unreachable.discard(peer.name)
+        elif answer.answered:
+            self.unreachable.add(peer.name)
+        elif known.revision == peer.revision:
+            # A higher revision is a sign of life that came during the probe.
+            self.metrics.count("members_suspected")
             self.spread(self.table.suspect(peer.name, trio.current_time()))
 
-    async def _rejoin(self):
-        while True:
-            known = {member.control for member in self.table.peers(*_LIVE)}
-            known.add(self.table.own.control)
-            lost = [member.control for member in self.table.peers(InstanceState.DEAD)]
-            candidates = [
-                address for address in {*self.seeds, *lost} if address not in known
-            ]
-            self.spread(self.table.own)
-            if candidates:
-                address = self._rng.choice(sorted(candidates))
-                await self._send(address, self._make("ping", self._next_number()))
-            await trio.sleep(self._interval * _REJOIN_PERIODS)
-
-    async def _ping(self, address, timeout):
-        number, event = self._expect()
-        await self._send(address, self._make("ping", number))
-        with trio.move_on_after(timeout):
-            await event.wait()
-        self._waiting.pop(number, None)
-        return event.is_set()
+    def _publish_own(self):
+        self.spread(self.table.own)
+        if self._nursery is not None:
+            self._nursery.start_soon(self.announce, _ANNOUNCE_PEERS)
 
     def _expect(self):
-        number, event = self._next_number(), trio.Event()
-        self._waiting[number] = event
-        return number, event
+        answer = _Answer(self._next_number())
+        self._waiting[answer.number] = answer
+        return answer
 
     def _next_number(self):
         self._number = (self._number + 1) & 0xFFFFFFFF
@@ -204,41 +386,27 @@
 
     def _next_peer(self):
         if not self._order:
-            self._order = [peer.name for peer in self.table.peers(*_LIVE)]
+            self._order = [peer.name for peer in self.table.peers(*LIVE)]
             self._rng.shuffle(self._order)
         while self._order:
             member = self.table.members.get(self._order.pop())
-            if member is not None and member.state in _LIVE:
+            if member is not None and member.state in LIVE:
                 return member
         return None
 
-    def _merge(self, updates):
-        now = trio.current_time()
-        for reader in updates:
-            self.spread(self.table.merge(read_member(reader), now))
-
-    def _make(self, kind, number):
+    def _make(self, kind, number, first=()):
         envelope = self._codec.new_envelope(self._get_version())
         body = envelope.init(kind)
         body.number = number
-        news = self._take_news()
+        body.tableDigest = self.table.digest
+        news = self._news.take(first)
         updates = body.init("updates", len(news))
         for builder, member in zip(updates, news, strict=True):
             write_member(builder, member)
         return envelope
 
-    def _take_news(self):
-        chosen = sorted(self._news.values(), key=lambda entry: -entry[1])
-        chosen = chosen[:_NEWS_PER_DATAGRAM]
-        for entry in chosen:
-            entry[1] -= 1
-            if entry[1] <= 0:
-                del self._news[entry[0].name]
-        return [entry[0] for entry in chosen]
-
     async def _send(self, address, envelope):
-        target = parse_address(address)
-        await self._send_to((target.host, target.port), envelope)
+        await self._send_to(locate(address), envelope)
 
     async def _send_to(self, target, envelope):
         data = self._codec.seal(envelope)
@@ -260,3 +428,17 @@
         get_version,
         on_version,
     )
+
+
+def _is_doubted(member):
+    return member.state in (InstanceState.SUSPECT, InstanceState.DEAD)
+
+
+def _read_updates(body):
+    if len(body.updates) > _MAX_UPDATES:
+        raise MessageError(MessageRejection.TOO_LONG.value)
+    try:
+        return [read_member(reader) for reader in body.updates]
+    except ValueError as error:
+        reason = MessageRejection.MALFORMED.value
+        raise MessageError(f"{reason}: {error}") from None
--- a/kumquatsaddle/membership/members.py
+++ b/kumquatsaddle/membership/members.py
@@ -11,8 +11,12 @@
 """
 
 from dataclasses import dataclass, replace
+from functools import lru_cache
+from hashlib import blake2b
 
+from kumquatsaddle.settings.parsers import parse_address
 from kumquatsaddle.types import (
+    ImpairmentReason,
     IncarnationId,
     InstanceId,
     InstanceState,
@@ -20,13 +24,36 @@
     ZoneId,
 )
 
-__all__ = ["Member", "MemberTable", "make_table"]
+__all__ = [
+    "LIVE",
+    "Member",
+    "MemberTable",
+    "locate",
+    "make_table",
+    "read_member",
+    "write_member",
+]
 
 _STATES = tuple(InstanceState)
 _SEVERITY = {state: index for index, state in enumerate(_STATES)}
-# Time in seconds for which a dead member stays in the table, so that late news of it
-# cannot bring it back.
-_DEAD_RETENTION = 600.0
+_REASONS = tuple(ImpairmentReason)
+# States of members that are probed.
+LIVE = (
+    InstanceState.JOINING,
+    InstanceState.ALIVE,
+    InstanceState.IMPAIRED,
+    InstanceState.LEAVING,
+    InstanceState.SUSPECT,
+)
+# Time in seconds for which a dead member stays in the table. Late news of it cannot
+# bring it back, and the sides of a partition of an hour still know each other's
+# addresses afterwards.
+_DEAD_RETENTION = 7200.0
+# Longest text in a member, in bytes; bounds the size of a datagram.
+_MAX_TEXT_BYTES = 64
+# Step in seconds by which a start time is moved behind that of the incarnation before.
+_START_STEP = 0.001
+_HASH_BYTES = 8
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,6 +71,8 @@
     zone, region : str
     control, callers : str
         ``host:port``.
+    impairment : ImpairmentReason, optional
+        Why the instance is IMPAIRED.
     """
 
     name: InstanceId
@@ -55,6 +84,7 @@
     region: RegionId
     control: str
     callers: str
+    impairment: ImpairmentReason | None = None
 
     def supersedes(self, other):
         """Return whether this news replaces `other` of the same instance."""
@@ -66,6 +96,15 @@
             return self.revision > other.revision
         return _SEVERITY[self.state] > _SEVERITY[other.state]
 
+    def digest(self):
+        """Return a 64-bit hash of what `supersedes` compares."""
+        text = (
+            f"{self.name} {self.started_at!r} {self.incarnation} "
+            f"{self.revision} {self.state.value}"
+        )
+        digest = blake2b(text.encode(), digest_size=_HASH_BYTES).digest()
+        return int.from_bytes(digest, "big")
+
 
 class MemberTable:
     """The members seen by one instance, itself included.
@@ -79,6 +118,11 @@
         self.own = own
         self.members = {own.name: own}
         self.changed_at = {own.name: 0.0}
+        # XOR of the digests of all members that are not dead. The dead are left out
+        # because each instance forgets them at another time.
+        self.digest = own.digest()
+        # Whether a later incarnation of this instance was seen.
+        self.replaced = False
         # Increases with each change of a member; placements compare it.
         self.generation = 1
 
@@ -105,13 +149,17 @@
         self._set(news, now)
         return news
 
-    def set_own_state(self, state, now):
+    def set_own_state(self, state, now, impairment=None):
         """Change the state of this instance; return the news to spread, or None."""
-        if state is self.own.state:
+        if state is self.own.state and impairment is self.own.impairment:
             return None
-        self._set_own(
-            replace(self.own, state=state, revision=self.own.revision + 1), now
+        own = replace(
+            self.own,
+            state=state,
+            impairment=impairment,
+            revision=self.own.revision + 1,
         )
+        self._set_own(own, now)
         return self.own
 
     def suspect(self, name, now):
@@ -143,6 +191,11 @@
                 del self.members[name], self.changed_at[name]
         return news
 
+    def delay_suspicions(self, lag):
+        """Give all suspicions `lag` seconds more, after a pause of this process."""
+        for member in self.peers(InstanceState.SUSPECT):
+            self.changed_at[member.name] += lag
+
     def peers(self, *states):
         """Return the other members in one of the states, in the order of names."""
         return [
@@ -159,10 +212,18 @@
         return None
 
     def _refute(self, news, now):
-        same = news.incarnation == self.own.incarnation
-        if same and news.supersedes(self.own):
-            self._set_own(replace(self.own, revision=news.revision + 1), now)
+        if not news.supersedes(self.own):
+            return None
+        if news.incarnation == self.own.incarnation:
+            revision = max(self.own.revision, news.revision) + 1
+            self._set_own(replace(self.own, revision=revision), now)
+            return self.own
+        if self.own.state is InstanceState.JOINING:
+            # The incarnation before this one ran on a machine whose clock is ahead.
+            started_at = news.started_at + _START_STEP
+            self._set_own(replace(self.own, started_at=started_at), now)
             return self.own
+        self.replaced = True
         return None
 
     def _set_own(self, own, now):
@@ -170,10 +231,16 @@
         self._set(own, now)
 
     def _set(self, member, now):
+        self._toggle(self.members.get(member.name))
+        self._toggle(member)
         self.members[member.name] = member
         self.changed_at[member.name] = now
         self.generation += 1
 
+    def _toggle(self, member):
+        if member is not None and member.state is not InstanceState.DEAD:
+            self.digest ^= member.digest()
+
 
 def make_table(own):
     """Return a table that knows only `own`."""
@@ -186,10 +253,21 @@
     Raises
     ------
     ValueError
-        If its state is unknown.
+        If its state or impairment is unknown, an address is malformed, or a text is
+        longer than 64 bytes.
     """
     if reader.state >= len(_STATES):
         raise ValueError(f"unknown state {reader.state}")
+    if reader.impairment > len(_REASONS):
+        raise ValueError(f"unknown impairment {reader.impairment}")
+    impairment = _REASONS[reader.impairment - 1] if reader.impairment else None
+    if not abs(reader.startedAt) < float("inf"):
+        raise ValueError(f"start time {reader.startedAt} is not finite")
+    for text in (reader.name, reader.incarnation, reader.zone, reader.region):
+        if len(text.encode()) > _MAX_TEXT_BYTES:
+            raise ValueError(f"text of more than {_MAX_TEXT_BYTES} bytes")
+    for address in (reader.control, reader.callers):
+        locate(address)
     return Member(
         name=InstanceId(reader.name),
         incarnation=IncarnationId(reader.incarnation),
@@ -200,6 +278,7 @@
         region=RegionId(reader.region),
         control=reader.control,
         callers=reader.callers,
+        impairment=impairment,
     )
 
 
@@ -214,3 +293,21 @@
     builder.region = member.region
     builder.control = member.control
     builder.callers = member.callers
+    builder.impairment = (
+        _REASONS.index(member.impairment) + 1 if member.impairment else 0
+    )
+
+
+@lru_cache(maxsize=4096)
+def locate(address):
+    """Return host and port of a ``host:port``, as a socket takes them.
+
+    Raises
+    ------
+    ValueError
+        If it is malformed or longer than 64 bytes.
+    """
+    if len(address) > _MAX_TEXT_BYTES:
+        raise ValueError(f"address of more than {_MAX_TEXT_BYTES} bytes")
+    parsed = parse_address(address)
+    return parsed.host, parsed.port
--- a/kumquatsaddle/messages/codec.py
+++ b/kumquatsaddle/messages/codec.py
@@ -13,11 +13,14 @@
 import capnp
 
 from kumquatsaddle.exceptions import MessageError
+from kumquatsaddle.messages.validation import make_validator
+from kumquatsaddle.types import MessageRejection
 
-__all__ = ["MessageCodec", "make_codec", "schema"]
+__all__ = ["MessageCodec", "find_reason", "make_codec", "schema"]
 
 capnp.remove_import_hook()
 schema = capnp.load(str(Path(__file__).with_name("messages.capnp")))
+_validate = make_validator(schema.Envelope.schema)
 
 _TAG_BYTES = 16
 # Largest difference in seconds between the clocks of two instances plus the time
@@ -28,8 +31,13 @@
 _SEQUENCE_WINDOW = 8192
 # Incarnations whose sequence numbers are remembered.
 _MAX_INCARNATIONS = 4096
-# Limit of the traversal of one message, in words of 8 bytes.
-_TRAVERSAL_WORDS = 1 << 23
+_WORD_BYTES = 8
+# Deepest nesting of the schema is 4 (envelope, body, list, member).
+_NESTING_LIMIT = 8
+# The check of a message visits each part once, so a message that refers to the same
+# bytes many times fails it. Each later access counts again.
+_CHECK_FACTOR, _CHECK_WORDS = 2, 64
+_ACCESS_FACTOR, _ACCESS_WORDS = 64, 4096
 
 
 class MessageCodec:
@@ -81,26 +89,24 @@
         Raises
         ------
         MessageError
-            If the message is truncated, forged, too old or replayed, or comes from
-            this incarnation itself.
+            If the message is truncated, forged, malformed, too old or replayed, or
+            comes from this incarnation itself; its text starts with the value of a
+            `MessageRejection`.
         """
         tag, payload = data[:_TAG_BYTES], bytes(data[_TAG_BYTES:])
         if len(tag) < _TAG_BYTES or not payload:
-            raise MessageError("truncated")
+            raise _reject(MessageRejection.TRUNCATED)
         if not any(hmac.compare_digest(tag, _tag(key, payload)) for key in self._keys):
-            raise MessageError("forged")
-        try:
-            envelope = _read(payload)
-            sender, sequence = envelope.incarnation, envelope.sequence
-            age = abs(self._clock() - envelope.sentAt)
-        except (capnp.KjException, ValueError) as error:
-            raise MessageError("malformed") from error
-        if not age <= _TIME_WINDOW:
-            raise MessageError("outside the time window")
+            raise _reject(MessageRejection.FORGED)
+        envelope = _read(payload)
+        # Also rejects a time that is not a number.
+        if not abs(self._clock() - envelope.sentAt) <= _TIME_WINDOW:
+            raise _reject(MessageRejection.TOO_OLD)
+        sender = envelope.incarnation
         if sender == self.incarnation:
-            raise MessageError("reflected")
-        if not self._admit(sender, sequence):
-            raise MessageError("replayed")
+            raise _reject(MessageRejection.REFLECTED)
+        if not self._admit(sender, envelope.sequence):
+            raise _reject(MessageRejection.REPLAYED)
         return envelope
 
     def _admit(self, incarnation, sequence):
@@ -139,11 +145,33 @@
     return MessageCodec(name, incarnation, keys, clock)
 
 
+def find_reason(error):
+    """Return the reason of a `MessageError`, the label of its counter."""
+    return str(error).split(":")[0]
+
+
 def _tag(key, payload):
     return blake2b(payload, digest_size=_TAG_BYTES, key=key).digest()
 
 
+def _reject(reason, detail=""):
+    return MessageError(f"{reason.value}: {detail}" if detail else reason.value)
+
+
 def _read(payload):
+    """Return a checked reader; its accesses cannot raise later."""
+    words = len(payload) // _WORD_BYTES
+    try:
+        _validate(_open(payload, _CHECK_FACTOR * words + _CHECK_WORDS))
+        return _open(payload, _ACCESS_FACTOR * words + _ACCESS_WORDS)
+    except (capnp.KjException, ValueError) as error:
+        # A UnicodeDecodeError is a ValueError.
+        raise _reject(MessageRejection.MALFORMED, type(error).__name__) from None
+
+
+def _open(payload, traversal_words):
     return schema.Envelope.from_bytes(
-        payload, traversal_limit_in_words=_TRAVERSAL_WORDS
+        payload,
+        traversal_limit_in_words=traversal_words,
+        nesting_limit=_NESTING_LIMIT,
     ).__enter__()
--- a/kumquatsaddle/messages/frames.py
+++ b/kumquatsaddle/messages/frames.py
@@ -1,12 +1,13 @@
 """Frames on TCP streams: a 4-byte big-endian length, then a sealed message."""
 
 from kumquatsaddle.exceptions import MessageError
+from kumquatsaddle.types import MessageRejection
 
 __all__ = ["FrameReader", "write_frame"]
 
 _LENGTH_BYTES = 4
 # Largest frame in bytes; a whole configuration of 35,000 accounts is about 6 MB.
-_MAX_FRAME_BYTES = 64 << 20
+_MAX_FRAME_BYTES = 16 << 20
 _READ_BYTES = 65536
 
 
@@ -31,10 +32,11 @@
             return None
         length = int.from_bytes(head, "big")
         if length > self._max_bytes:
-            raise MessageError(f"frame of {length} bytes is too long")
+            reason = MessageRejection.TOO_LONG.value
+            raise MessageError(f"{reason}: frame of {length} bytes")
         body = await self._take(length)
         if body is None:
-            raise MessageError("truncated frame")
+            raise MessageError(MessageRejection.TRUNCATED.value)
         return body
 
     async def _take(self, count):
@@ -42,7 +44,7 @@
             data = await self._stream.receive_some(_READ_BYTES)
             if not data:
                 if self._buffer:
-                    raise MessageError("truncated frame")
+                    raise MessageError(MessageRejection.TRUNCATED.value)
                 return None
             self._buffer += data
         taken = bytes(self._buffer[:count])
--- a/kumquatsaddle/messages/messages.capnp
+++ b/kumquatsaddle/messages/messages.capnp
@@ -33,22 +33,26 @@
   region @6 :Text;
   control @7 :Text;        # host:port
   callers @8 :Text;        # host:port
+  impairment @9 :UInt8;    # 0, or 1 + index of the reason why it is IMPAIRED
 }
 
 struct Ping {
   number @0 :UInt32;
   updates @1 :List(Member);
+  tableDigest @2 :UInt64;  # of the sender's member table
 }
 
 struct Ack {
   number @0 :UInt32;
   updates @1 :List(Member);
+  tableDigest @2 :UInt64;
 }
 
 struct PingRequest {
   number @0 :UInt32;
   target @1 :Text;         # control address
   updates @2 :List(Member);
+  tableDigest @3 :UInt64;
 }
 
 struct Digest {
@@ -107,6 +111,7 @@
 
 struct Hello {
   number @0 :UInt32;
+  member @1 :Member;       # the sender
 }
 
 struct Members {
--- a/kumquatsaddle/types.py
+++ b/kumquatsaddle/types.py
@@ -26,6 +26,8 @@
     "RetryReason",
     "BackendState",
     "InstanceState",
+    "ImpairmentReason",
+    "MessageRejection",
 ]
 
 InstanceId = NewType("InstanceId", str)
@@ -127,3 +129,27 @@
     LEAVING = "leaving"
     SUSPECT = "suspect"
     DEAD = "dead"
+
+
+class ImpairmentReason(Enum):
+    """Why an instance declares itself IMPAIRED."""
+
+    EVENT_LOOP_LAG = "event_loop_lag"
+    PROBES_FAIL = "probes_fail"
+    CONFIGURATION_STALE = "configuration_stale"
+    NO_BACKEND_REACHABLE = "no_backend_reachable"
+
+
+class MessageRejection(Enum):
+    """Why a message of another instance was dropped."""
+
+    TRUNCATED = "truncated"
+    TOO_LONG = "too_long"
+    FORGED = "forged"
+    MALFORMED = "malformed"
+    TOO_OLD = "too_old"
+    REFLECTED = "reflected"
+    REPLAYED = "replayed"
+    UNKNOWN_SENDER = "unknown_sender"
+    UNEXPECTED = "unexpected"
+    OVERLOAD = "overload"
