Test the codec and the gossip under faults

Nothing ran the gossip or the codec against losses, cuts, restarts or damaged messages.

A memory network and a fleet on it join the shared fixtures; the probes move into a module of their own, and an instance judges itself.

--- a/kumquatsaddle/entry/control.py
+++ b/kumquatsaddle/entry/control.py
@@ -6,8 +6,10 @@
 from kumquatsaddle.entry.proxy import make_proxy
 from kumquatsaddle.exceptions import MessageError
 from kumquatsaddle.exchange import Request
+from kumquatsaddle.membership.exchange import fill_members, take_hello
+from kumquatsaddle.messages.codec import find_reason
 from kumquatsaddle.messages.frames import FrameReader, write_frame
-from kumquatsaddle.types import Rank
+from kumquatsaddle.types import MessageRejection, Rank
 
 __all__ = ["ControlServer", "make_control_server"]
 
@@ -40,17 +42,30 @@
                     if data is None:
                         break
                     envelope = self._node.codec.open(data)
-                    if str(envelope.which()) != "forward":
-                        raise MessageError("unexpected")
+                    kind = envelope.which()
+                    if kind == "hello":
+                        nursery.start_soon(self._introduce, envelope, stream, lock)
+                        continue
+                    if kind != "forward":
+                        raise MessageError(MessageRejection.UNEXPECTED.value)
                     nursery.start_soon(self._answer, envelope.forward, stream, lock)
         except* MessageError as group:
-            reason = str(group.exceptions[0])
+            reason = find_reason(group.exceptions[0])
             self._node.metrics.count("messages_rejected", reason=reason)
         except* (trio.BrokenResourceError, trio.ClosedResourceError):
             self._node.metrics.count("peer_links_broken")
         finally:
             await trio.aclose_forcefully(stream)
 
+    async def _introduce(self, envelope, stream, lock):
+        """Merge a ``hello`` and send the member table."""
+        node = self._node
+        take_hello(envelope, node.gossip)
+        reply = node.codec.new_envelope(node.configuration.version)
+        fill_members(reply, envelope.hello.number, node.table)
+        async with lock:
+            await write_frame(stream, node.codec.seal(reply))
+
     async def _answer(self, body, stream, lock):
         request = _read_request(body, trio.current_time())
         answer = await self._proxy.answer_forwarded(request, body.kind)
@@ -67,7 +82,7 @@
 
 def _read_request(body, now):
     if body.rank > max(Rank):
-        raise MessageError("malformed")
+        raise MessageError(MessageRejection.MALFORMED.value)
     return Request(
         method=body.method,
         target=body.target,
--- a/kumquatsaddle/lifecycle/node.py
+++ b/kumquatsaddle/lifecycle/node.py
@@ -17,6 +17,7 @@
 from kumquatsaddle.admission.limits import make_limits
 from kumquatsaddle.configuration.changes import read_changes, seed_changes
 from kumquatsaddle.configuration.state import make_configuration
+from kumquatsaddle.dispatch.digests import choose_digests, make_digests
 from kumquatsaddle.dispatch.dispatcher import make_dispatcher
 from kumquatsaddle.dispatch.peers import make_links
 from kumquatsaddle.entry.callers import make_caller_server
@@ -25,7 +26,9 @@
 from kumquatsaddle.exceptions import ConfigurationError, PlatformError
 from kumquatsaddle.lifecycle.application import make_application
 from kumquatsaddle.logs import log_event
+from kumquatsaddle.membership.exchange import fill_hello, read_members
 from kumquatsaddle.membership.gossip import make_gossip
+from kumquatsaddle.membership.judgement import make_judgement, select_serving
 from kumquatsaddle.membership.members import Member, make_table
 from kumquatsaddle.messages.codec import make_codec
 from kumquatsaddle.metrics import make_metrics
@@ -33,14 +36,15 @@
 from kumquatsaddle.operations.ledger import make_ledger
 from kumquatsaddle.platform.interface import make_platform
 from kumquatsaddle.settings.files import read_secret
-from kumquatsaddle.types import BackendId, InstanceState
+from kumquatsaddle.types import BackendId, BackendState, InstanceState
 
 __all__ = ["Node", "make_node"]
 
 # Shortest time in seconds between two derivations of the placement.
 _PLACEMENT_INTERVAL = 0.2
-# States in which an instance is answered to callers and is home of groups.
-SERVING = (InstanceState.ALIVE,)
+# Time in seconds between two rounds of digests, and for a table from a peer.
+_DIGEST_INTERVAL = 1.0
+_TABLE_TIMEOUT = 5.0
 _RANDOM_KEY_BYTES = 32
 
 
@@ -76,6 +80,15 @@
             lambda: self.configuration.version,
             self._note_version,
         )
+        self.gossip.fetch_table = self._fetch_table
+        self.gossip.on_digest = self._record_digests
+        self.digests = make_digests()
+        self.judgement = make_judgement(
+            self.gossip,
+            self.metrics,
+            lambda: self.configuration.version,
+            self._has_reachable_backend,
+        )
         self.links = None
         self.backends = []
         self.placement = make_placement((), (), ())
@@ -90,14 +103,10 @@
     def serving_members(self):
         """Return the members that are answered to callers, this instance included.
 
-        While the whole fleet is leaving, the leaving members are returned.
+        Impaired members stay if more than half of the fleet is impaired for the same
+        reason. While the whole fleet is leaving, the leaving members are returned.
         """
-        members = self.table.members.values()
-        serving = [member for member in members if member.state in SERVING]
-        if serving:
-            return serving
-        leaving = (InstanceState.LEAVING, InstanceState.IMPAIRED)
-        return [member for member in members if member.state in leaving]
+        return select_serving(self.table.members.values())
 
     def order_homes(self, service, account):
         """Return the serving homes of a service in the order of an account."""
@@ -157,7 +166,45 @@
         }
         await self.update_placement()
 
+    async def _fetch_table(self, address, own):
+        envelope = await self.links.request(
+            address,
+            lambda envelope, number: fill_hello(envelope, number, own),
+            _TABLE_TIMEOUT,
+        )
+        return read_members(envelope)
+
+    def _record_digests(self, member, digests):
+        for digest in digests:
+            self.digests.record(member, digest, trio.current_time())
+
+    async def _send_digests(self):
+        rng = random.Random()
+        while True:
+            await trio.sleep(_DIGEST_INTERVAL * rng.uniform(0.9, 1.1))
+            chosen = choose_digests(
+                self.dispatcher.describe_services(),
+                self.placement.homes_of,
+                self.name,
+                rng,
+            )
+            for home, digests in chosen.items():
+                await self.gossip.send_digests(home, digests)
+
+    def _has_reachable_backend(self):
+        unusable = (BackendState.EJECTED, BackendState.GONE)
+        states = [
+            server.health.state
+            for pool in self.dispatcher.pools.values()
+            for server in pool.servers.values()
+            if server.health.state is not BackendState.DRAINING
+        ]
+        if not states:
+            return None
+        return any(state not in unusable for state in states)
+
     def _note_version(self, member, version):
+        self.judgement.note_version(version)
         if version > self.configuration.version:
             self._wake.set()
 
@@ -206,6 +253,8 @@
         await self.update_placement()
         nursery.start_soon(self._poll_platform)
         nursery.start_soon(self._watch_placement)
+        nursery.start_soon(self._send_digests)
+        nursery.start_soon(self.judgement.run)
 
     async def stop(self):
         """Leave the address answer, end the work in flight and release the homes."""
--- a/kumquatsaddle/membership/gossip.py
+++ b/kumquatsaddle/membership/gossip.py
@@ -7,20 +7,26 @@
 ----------
 Das, Gupta and Motivala, SWIM: Scalable Weakly-consistent Infection-style Process Group
 Membership Protocol, 2002.
-Dadgar, Phillips and Currey, Lifeguard: Local Health Awareness for More Accurate
-Failure Detection, 2018.
 """
 
 import random
+from contextlib import contextmanager
 
 import trio
 
 from kumquatsaddle.dispatch.digests import read_digests, write_digests
 from kumquatsaddle.exceptions import MessageError
 from kumquatsaddle.logs import log_event
-from kumquatsaddle.membership.health import LONGEST_LAG, make_local_health
-from kumquatsaddle.membership.members import LIVE, locate, read_member, write_member
+from kumquatsaddle.membership.health import make_local_health
+from kumquatsaddle.membership.members import (
+    LIVE,
+    is_doubted,
+    locate,
+    read_member,
+    write_member,
+)
 from kumquatsaddle.membership.news import make_news
+from kumquatsaddle.membership.probes import DIRECT_SHARE, ProbeAnswer, make_prober
 from kumquatsaddle.membership.reconcile import make_reconciler
 from kumquatsaddle.membership.transport import open_datagrams
 from kumquatsaddle.messages.codec import find_reason
@@ -29,13 +35,8 @@
 __all__ = ["Gossip", "make_gossip"]
 
 _DATAGRAM_BYTES = 65536
-# Part of the probe interval within which a direct probe must be answered.
-_DIRECT_SHARE = 0.3
 # Pings of one direct probe; at 20% loss one round trip in three fails.
 _PING_ATTEMPTS = 2
-_INDIRECT_PROBES = 3
-# Suspects that are pinged directly in one period, so that a live one can refute.
-_CONFIRMATIONS_PER_PERIOD = 4
 # Peers that are told at once of a change of this instance.
 _ANNOUNCE_PEERS = 3
 # Members in one datagram, and probes relayed for others at a time.
@@ -46,26 +47,6 @@
 _PROBES = ("ping", "ack", "pingRequest")
 
 
-class _Answer:
-    """What came back for a probe."""
-
-    __slots__ = ("number", "event", "numbers", "digest")
-
-    def __init__(self, number):
-        self.number = number
-        self.event = trio.Event()
-        self.numbers = set()
-        self.digest = None
-
-    @property
-    def answered(self):
-        return self.event.is_set()
-
-    @property
-    def direct(self):
-        return self.number in self.numbers
-
-
 class Gossip:
     """Keeps the member table of one instance.
 
@@ -119,18 +100,17 @@
         self.on_digest = None
         self._codec = codec
         self._interval = probe_interval
-        self._suspicion_timeout = suspicion_timeout
         self._get_version = get_version
         self._on_version = on_version
         self._rng = rng or random.Random()
         self._open_socket = open_socket
         self._reconciler = make_reconciler(self, probe_interval, self._rng)
+        self._prober = make_prober(self, probe_interval, suspicion_timeout, self._rng)
         self._socket = None
         self._nursery = None
         self._number = 0
         self._waiting = {}
         self._news = make_news()
-        self._order = []
         self._relays = 0
         for reason in MessageRejection:
             metrics.count("messages_rejected", 0, reason=reason.value)
@@ -143,7 +123,7 @@
                 self._nursery = nursery
                 self.spread(self.table.own)
                 nursery.start_soon(self._receive)
-                nursery.start_soon(self._probe_peers)
+                nursery.start_soon(self._prober.run)
                 nursery.start_soon(self._reconciler.run)
                 task_status.started()
         finally:
@@ -167,6 +147,9 @@
         before = self.table.members.get(news.name)
         merged = self.table.merge(news, trio.current_time())
         if merged is None:
+            if self.table.replaced:
+                # Another process runs under the same name.
+                self.metrics.set_gauge("instance_replaced", 1)
             return
         if merged is self.table.own:
             self.metrics.count("refutations")
@@ -207,15 +190,24 @@
 
     async def ping(self, address, first=()):
         """Ping an address up to twice and return what came back."""
-        answer = self._expect()
+        with self.expect() as answer:
+            await self.ping_for(answer, address, first)
+        return answer
+
+    @contextmanager
+    def expect(self):
+        """Yield a `ProbeAnswer` that takes the answers of one probe."""
+        answer = ProbeAnswer(self._next_number(), self._next_number())
+        self._waiting[answer.number] = answer
+        self._waiting[answer.relayed_number] = answer
         try:
-            await self._ping_for(answer, address, first)
+            yield answer
         finally:
-            del self._waiting[answer.number]
-        return answer
+            del self._waiting[answer.number], self._waiting[answer.relayed_number]
 
-    async def _ping_for(self, answer, address, first=()):
-        timeout = self._interval * _DIRECT_SHARE / _PING_ATTEMPTS
+    async def ping_for(self, answer, address, first=()):
+        """Ping an address up to twice, until `answer` has an answer."""
+        timeout = self._interval * DIRECT_SHARE / _PING_ATTEMPTS
         for attempt in range(_PING_ATTEMPTS):
             # A peer that does not know this instance drops the first one.
             news = [*first, self.table.own] if attempt else first
@@ -225,6 +217,12 @@
             if answer.answered:
                 return
 
+    async def ask_helper(self, answer, helper, target):
+        """Ask a member to ping the control address `target`."""
+        message = self._make("pingRequest", answer.relayed_number)
+        message.pingRequest.target = target
+        await self._send(helper.control, message)
+
     async def _receive(self):
         while True:
             try:
@@ -263,14 +261,12 @@
         self._reconciler.note_digest(envelope.sender, body.tableDigest)
         if kind == "ping":
             record = self.table.members.get(envelope.sender)
-            first = [record] if record is not None and _is_doubted(record) else ()
+            first = [record] if record is not None and is_doubted(record) else ()
             await self._send_to(source, self._make("ack", body.number, first))
         elif kind == "pingRequest":
             self._start_relay(body.target, body.number, source)
         elif answer is not None:
-            answer.numbers.add(body.number)
-            answer.digest = body.tableDigest
-            answer.event.set()
+            answer.record(body.number, body.tableDigest)
         else:
             self.metrics.count("probe_answers_late")
 
@@ -301,99 +297,15 @@
         finally:
             self._relays -= 1
 
-    async def _probe_peers(self):
-        while True:
-            pause = self._interval * self._rng.uniform(0.9, 1.1)
-            due = trio.current_time() + pause
-            await trio.sleep(pause)
-            self._note_lag(trio.current_time() - due)
-            self._expire()
-            self._confirm_suspects()
-            peer = self._next_peer()
-            if peer is not None:
-                self._nursery.start_soon(self._probe, peer)
-
-    def _note_lag(self, lag):
-        self.health.note_lag(lag)
-        if lag > LONGEST_LAG:
-            # Answers and refutations that arrived meanwhile are not read yet.
-            self.table.delay_suspicions(lag)
-
-    def _expire(self):
-        timeout = self._suspicion_timeout * self.health.multiplier
-        for news in self.table.expire(trio.current_time(), timeout):
-            log_event("member_dead", member=news.name)
-            self.metrics.count("members_declared_dead")
-            self.unreachable.discard(news.name)
-            self.spread(news)
-
-    def _confirm_suspects(self):
-        suspects = self.table.peers(InstanceState.SUSPECT)
-        count = min(_CONFIRMATIONS_PER_PERIOD, len(suspects))
-        for member in self._rng.sample(suspects, count):
-            self._nursery.start_soon(self.ping, member.control, [member])
-
-    async def _probe(self, peer):
-        answer = self._expect()
-        relayed = self._next_number()
-        self._waiting[relayed] = answer
-        try:
-            first = [peer] if _is_doubted(peer) else ()
-            await self._ping_for(answer, peer.control, first)
-            if not answer.answered:
-                await self._ask_helpers(answer, relayed, peer)
-        finally:
-            del self._waiting[answer.number], self._waiting[relayed]
-        self._judge(peer, answer)
-
-    async def _ask_helpers(self, answer, number, peer):
-        others = [entry for entry in self.table.peers(*LIVE) if entry.name != peer.name]
-        count = min(_INDIRECT_PROBES, len(others))
-        for helper in self._rng.sample(others, count):
-            message = self._make("pingRequest", number)
-            message.pingRequest.target = peer.control
-            await self._send(helper.control, message)
-        with trio.move_on_after(self._interval * (1 - _DIRECT_SHARE)):
-            await answer.event.wait()
-
-    def _judge(self, peer, answer):
-        self.health.note_probe(answer.answered)
-        known = self.table.members.get(peer.name)
-        if known is None or known.incarnation != peer.incarnation:
-            return
-        if answer.direct:
-            self.unreachable.discard(peer.name)
-        elif answer.answered:
-            self.unreachable.add(peer.name)
-        elif known.revision == peer.revision:
-            # A higher revision is a sign of life that came during the probe.
-            self.metrics.count("members_suspected")
-            self.spread(self.table.suspect(peer.name, trio.current_time()))
-
     def _publish_own(self):
         self.spread(self.table.own)
         if self._nursery is not None:
             self._nursery.start_soon(self.announce, _ANNOUNCE_PEERS)
 
-    def _expect(self):
-        answer = _Answer(self._next_number())
-        self._waiting[answer.number] = answer
-        return answer
-
     def _next_number(self):
         self._number = (self._number + 1) & 0xFFFFFFFF
         return self._number
 
-    def _next_peer(self):
-        if not self._order:
-            self._order = [peer.name for peer in self.table.peers(*LIVE)]
-            self._rng.shuffle(self._order)
-        while self._order:
-            member = self.table.members.get(self._order.pop())
-            if member is not None and member.state in LIVE:
-                return member
-        return None
-
     def _make(self, kind, number, first=()):
         envelope = self._codec.new_envelope(self._get_version())
         body = envelope.init(kind)
@@ -430,10 +342,6 @@
     )
 
 
-def _is_doubted(member):
-    return member.state in (InstanceState.SUSPECT, InstanceState.DEAD)
-
-
 def _read_updates(body):
     if len(body.updates) > _MAX_UPDATES:
         raise MessageError(MessageRejection.TOO_LONG.value)
--- a/kumquatsaddle/membership/members.py
+++ b/kumquatsaddle/membership/members.py
@@ -28,6 +28,7 @@
     "LIVE",
     "Member",
     "MemberTable",
+    "is_doubted",
     "locate",
     "make_table",
     "read_member",
@@ -247,6 +248,11 @@
     return MemberTable(own)
 
 
+def is_doubted(member):
+    """Return whether a member is SUSPECT or DEAD."""
+    return member.state in (InstanceState.SUSPECT, InstanceState.DEAD)
+
+
 def read_member(reader):
     """Return the `Member` of a message.
 
--- /dev/null
+++ b/kumquatsaddle/membership/tests/steps/gossip.py
@@ -0,0 +1,334 @@
+import random
+from dataclasses import replace
+
+import trio
+from behave import given, then, when
+from hypothesis import given as for_all
+from hypothesis import settings
+from hypothesis import strategies as st
+from trio.testing import MockClock
+
+from kumquatsaddle.membership.gossip import Gossip
+from kumquatsaddle.membership.members import make_table
+from kumquatsaddle.messages.codec import make_codec
+from kumquatsaddle.metrics import make_metrics
+from kumquatsaddle.settings.parsers import Address
+from kumquatsaddle.testing.fleet import (
+    KEY,
+    MemoryFleet,
+    describe_instance,
+    locate_instance,
+    read_clock,
+)
+from kumquatsaddle.testing.network import make_network
+from kumquatsaddle.types import InstanceState
+
+
+def run_mocked(function, *arguments):
+    """Run in simulated time; Hypothesis seeds the order in which trio runs tasks."""
+
+    @settings(max_examples=1)
+    @for_all(st.none())
+    def run(_):
+        trio.run(function, *arguments, clock=MockClock(autojump_threshold=0))
+
+    run()
+
+
+def play(context):
+    """Run the steps so far in one simulated run; return what `script` needs."""
+
+    async def main():
+        network = make_network(1, loss=context.loss, duplication=0.05)
+        async with trio.open_nursery() as nursery:
+            fleet = MemoryFleet(
+                network, nursery, context.interval, 3 * context.interval
+            )
+            for number in range(context.size):
+                await fleet.start(number)
+            assert await fleet.wait_converged(60) is not None
+            fleet.fetches = fleet.count("member_table_fetches")
+            fleet.deaths = fleet.count("members_declared_dead")
+            for action in context.script:
+                await action(fleet)
+            nursery.cancel_scope.cancel()
+
+    run_mocked(main)
+
+
+@given("a converged fleet of {size:d} instances with {loss:d} percent loss")
+def start_fleet(context, size, loss):
+    context.size, context.loss, context.script = size, loss / 100, []
+    context.interval = 1.0
+    # The steps are one simulated run, which the clean-up plays after the last one.
+    context.add_cleanup(play, context)
+
+
+def scripted(function):
+    """Make a step that adds its function, bound to its arguments, to the script."""
+
+    def step(context, **arguments):
+        async def action(fleet):
+            await function(fleet, **arguments)
+
+        context.script.append(action)
+
+    return step
+
+
+async def pass_periods(fleet, count):
+    await trio.sleep(count)
+
+
+when("{count:d} periods pass")(scripted(pass_periods))
+
+
+async def check_no_death(fleet):
+    assert fleet.count("members_declared_dead") == fleet.deaths
+
+
+then("no member was declared dead")(scripted(check_no_death))
+
+
+async def cut_one_way(fleet, source, target):
+    fleet.network.cut(locate_instance(source), locate_instance(target))
+    fleet.ends = {source: f"entry-{target:03}", target: f"entry-{source:03}"}
+
+
+when("datagrams from instance {source:d} to instance {target:d} are dropped")(
+    scripted(cut_one_way)
+)
+
+
+async def check_unreachable(fleet):
+    for number, gossip in fleet.gossips.items():
+        expected = {fleet.ends[number]} if number in fleet.ends else set()
+        assert gossip.unreachable == expected, (number, gossip.unreachable)
+
+
+then("only the ends of the cut hold each other as unreachable")(
+    scripted(check_unreachable)
+)
+
+
+async def heal(fleet):
+    fleet.network.heal()
+    fleet.ends = {}
+    fleet.deaths = fleet.count("members_declared_dead")
+
+
+when("the cuts heal")(scripted(heal))
+then("no instance holds another one as unreachable")(scripted(check_unreachable))
+
+
+async def kill(fleet, number):
+    fleet.dead = fleet.gossips[number].table.own
+    fleet.kill(number)
+
+
+when("instance {number:d} is killed")(scripted(kill))
+
+
+async def check_dead(fleet, periods):
+    assert await fleet.wait_converged(periods) is not None
+
+
+then("all others hold it as dead within {periods:d} periods")(scripted(check_dead))
+
+
+async def check_stays_dead(fleet, periods):
+    for _ in range(periods):
+        for gossip in fleet.gossips.values():
+            record = gossip.table.members[fleet.dead.name]
+            assert record.state is InstanceState.DEAD
+        await trio.sleep(1.0)
+
+
+then("it stays dead for {periods:d} periods")(scripted(check_stays_dead))
+
+
+async def restart(fleet, number):
+    fleet.kill(number)
+    await fleet.start(number)
+    fleet.deaths = fleet.count("members_declared_dead")
+
+
+when("instance {number:d} is killed and restarted")(scripted(restart))
+
+
+async def check_convergence(fleet, periods):
+    assert await fleet.wait_converged(periods) is not None, fleet.views()
+    assert fleet.count("members_declared_dead") == fleet.deaths
+
+
+then("the fleet converges within {periods:d} periods without a death")(
+    scripted(check_convergence)
+)
+
+
+@when("periods last {seconds:d} seconds")
+def set_interval(context, seconds):
+    # A simulated hour with fewer probes takes less time to run.
+    context.interval = float(seconds)
+
+
+async def partition(fleet, seconds):
+    numbers = list(fleet.gossips)
+    half = len(numbers) // 2
+    for one in numbers[:half]:
+        for other in numbers[half:]:
+            fleet.network.cut(locate_instance(one), locate_instance(other))
+            fleet.network.cut(locate_instance(other), locate_instance(one))
+    await trio.sleep(seconds)
+
+
+when("the two halves are cut off from each other for {seconds:d} seconds")(
+    scripted(partition)
+)
+
+
+async def check_halves(fleet):
+    assert {len(view) for view in fleet.views().values()} == {len(fleet.gossips) // 2}
+
+
+then("each half sees only itself")(scripted(check_halves))
+
+
+async def forget(fleet, number, other):
+    gossip = fleet.gossips[number]
+    own = gossip.table.own
+    members = [
+        member
+        for member in gossip.table.members.values()
+        if member.name not in (own.name, f"entry-{other:03}")
+    ]
+    empty = make_table(own)
+    for member in members:
+        empty.merge(member, trio.current_time())
+    for name in ("members", "changed_at", "digest"):
+        setattr(gossip.table, name, getattr(empty, name))
+    assert not fleet.is_converged()
+
+
+when("instance {number:d} forgets instance {other:d}")(scripted(forget))
+
+
+async def check_no_fetch(fleet):
+    assert fleet.count("member_table_fetches") == fleet.fetches
+
+
+then("no table was fetched since the fleet converged")(scripted(check_no_fetch))
+
+
+@then("fleets of 3 to 12 instances converge after loss, one-way cuts and restarts")
+def check_faults(context):
+    @settings(max_examples=40)
+    @for_all(
+        st.integers(3, 12),
+        st.floats(0, 0.3),
+        st.lists(st.tuples(st.integers(0, 11), st.integers(0, 11)), max_size=4),
+        st.lists(st.integers(0, 11), max_size=3),
+        st.integers(0, 1000),
+    )
+    def check(size, loss, cuts, restarts, seed):
+        clock = MockClock(autojump_threshold=0)
+        trio.run(play_faults, size, loss, cuts, restarts, seed, clock=clock)
+
+    check()
+
+
+async def play_faults(size, loss, cuts, restarts, seed):
+    network = make_network(seed, loss=loss, duplication=0.1, delay=(0.0005, 0.02))
+    async with trio.open_nursery() as nursery:
+        fleet = MemoryFleet(network, nursery)
+        for number in range(size):
+            await fleet.start(number, seeds=(0, 1))
+        for source, target in cuts:
+            network.cut(locate_instance(source % size), locate_instance(target % size))
+        for number in restarts:
+            await trio.sleep(7)
+            fleet.kill(number % size)
+            await trio.sleep(seed % 9)
+            await fleet.start(number % size, seeds=(0, 1))
+        await trio.sleep(20)
+        network.heal()
+        network.loss = min(loss, 0.05)
+        assert await fleet.wait_converged(120) is not None, fleet.views()
+        nursery.cancel_scope.cancel()
+
+
+def make_single(network, own, codec_name=None):
+    return Gossip(
+        make_table(own),
+        make_codec(own.name, own.incarnation, [KEY], read_clock),
+        make_metrics(),
+        1.0,
+        3.0,
+        lambda: 1,
+        lambda name, version: None,
+        random.Random(1),
+        network.open,
+    )
+
+
+@then("a pause of 10 s moves suspicions by as much and lengthens the timeout")
+def check_lag(context):
+    async def main():
+        gossip = make_single(make_network(), describe_instance(0))
+        gossip.learn(describe_instance(1))
+        gossip.spread(gossip.table.suspect("entry-001", 0.0))
+        before = gossip.health.multiplier
+        gossip._prober._note_lag(10.0)
+        assert gossip.health.multiplier == before + 1
+        assert gossip.table.expire(12.9, 3.0) == []
+        assert [news.name for news in gossip.table.expire(13.0, 3.0)] == ["entry-001"]
+
+    run_mocked(main)
+
+
+@then("datagrams of a fleet with names of 64 bytes stay below 1400 bytes")
+def check_size(context):
+    async def main():
+        network = make_network()
+        long = "n" * 60
+        own = replace(describe_instance(0, "i" * 64), name=long + "0000")
+        gossip = make_single(network, own)
+        for number in range(1, 40):
+            name, text = f"{long}{number:04}", "z" * 64
+            member = describe_instance(number, "i" * 64)
+            gossip.learn(replace(member, name=name, zone=text, region=text))
+        for number in range(40, 80):
+            gossip.learn(describe_instance(number))
+        async with trio.open_nursery() as nursery:
+            await nursery.start(gossip.run, Address(*locate_instance(0)))
+            await trio.sleep(60)
+            assert network.sent > 100
+            nursery.cancel_scope.cancel()
+        assert 600 < network.longest < 1400, network.longest
+
+    run_mocked(main)
+
+
+@then("a probe of an unknown sender is counted, and answered once it introduces itself")
+def check_unknown(context):
+    async def main():
+        network = make_network()
+        known = make_single(network, describe_instance(0, "a" * 16))
+        answers = []
+        network.attach(locate_instance(1), lambda *datagram: answers.append(datagram))
+        stranger = make_single(network, describe_instance(1, "b" * 16))
+        stranger._socket = await network.open(Address(*locate_instance(1)))
+        async with trio.open_nursery() as nursery:
+            await nursery.start(known.run, Address(*locate_instance(0)))
+            address = known.table.own.control
+            await stranger.tell(address)
+            await trio.sleep(0.1)
+            key = ("messages_rejected", (("reason", "unknown_sender"),))
+            assert known.metrics.counts[key] == 1 and not answers
+            assert "entry-001" not in known.table.members
+            await stranger.tell(address, [stranger.table.own])
+            await trio.sleep(0.1)
+            assert len(answers) == 1 and "entry-001" in known.table.members
+            nursery.cancel_scope.cancel()
+
+    run_mocked(main)
--- a/kumquatsaddle/testing/network.py
+++ b/kumquatsaddle/testing/network.py
@@ -74,9 +74,10 @@
             elif target in self._sockets:
                 self._sockets[target].put(data, source, self._rng.uniform(*self.delay))
 
-    def close(self, place):
-        """Remove the socket of a host and port."""
-        self._sockets.pop(place, None)
+    def remove(self, place, end):
+        """Remove the socket of a host and port, unless another one replaced it."""
+        if self._sockets.get(place) is end:
+            del self._sockets[place]
 
 
 class MemorySocket:
@@ -115,7 +116,7 @@
 
     def close(self):
         """Remove this end from the network."""
-        self._network.close(self._place)
+        self._network.remove(self._place, self)
 
 
 def make_network(seed=1, **faults):
