--- a/benchmarks/control_cost.py
+++ b/benchmarks/control_cost.py
@@ -29,12 +29,13 @@
 from docopt import docopt
 from trio.testing import MockClock
 
-from kumquatsaddle.dispatch.digests import (
-    ServiceDigest,
-    choose_digests,
-    make_digests,
-    write_digests,
+from benchmarks.light_peers import (
+    CHANGES_PER_SECOND,
+    TARGET_SIZE,
+    LightPeers,
+    describe_services,
 )
+from kumquatsaddle.dispatch.digests import choose_digests, make_digests
 from kumquatsaddle.logs import set_log_level
 from kumquatsaddle.membership.exchange import fill_members
 from kumquatsaddle.membership.gossip import Gossip
@@ -60,15 +61,8 @@
 _MAX_CORE_SHARE = 0.045
 _MAX_MEMORY_BYTES = 32 << 20
 _MAX_DATAGRAM_BYTES = 1400
-_TARGET_SIZE = 520
-# Changes of state a day at the target size: 1,400 restarts with four states each
-# (LEAVING, DEAD, JOINING, ALIVE) and 6 failures with SUSPECT and DEAD.
-_CHANGES_PER_DAY = 1400 * 4 + 6 * 2
-_DAY = 86400.0
-# Services of one home and homes of one service at the target size.
-_OWN_SERVICES = 2
+# Homes of one service at the target size.
 _HOMES = 10
-_DIGESTS_PER_SECOND = 3
 _SPREAD_ROUNDS = 3
 # Sequence numbers that a replay window covers.
 _WINDOW_BITS = 8192
@@ -91,103 +85,6 @@
     longest: int
 
 
-class LightPeers:
-    """Answers the measured instance, and sends what a fleet sends to it."""
-
-    def __init__(self, network, gossip, size, rng):
-        self.network = network
-        self.gossip = gossip
-        self.rng = rng
-        self.seconds = 0.0
-        self.members = [
-            replace(
-                describe_instance(number, f"{number:016x}"),
-                state=InstanceState.ALIVE,
-                started_at=1e9,
-            )
-            for number in range(1, size)
-        ]
-        self.codecs = [
-            make_codec(member.name, member.incarnation, [KEY], read_clock)
-            for member in self.members
-        ]
-        self.reader = make_codec("reader", "r" * 16, [KEY], read_clock)
-        self.home = locate_instance(0)
-        self.news = []
-        self.until = {}
-        for number in range(1, size):
-            network.attach(locate_instance(number), self._make_handler(number - 1))
-
-    def _make_handler(self, index):
-        def handle(data, source):
-            started = time.process_time()
-            envelope = self.reader.open(data)
-            kind = envelope.which()
-            if kind in ("ping", "pingRequest"):
-                self._send(index, "ack", getattr(envelope, kind).number)
-            self.seconds += time.process_time() - started
-
-        return handle
-
-    def _send(self, index, kind, number):
-        codec = self.codecs[index]
-        envelope = codec.new_envelope(1)
-        body = envelope.init(kind)
-        body.number = number
-        body.tableDigest = self.gossip.table.digest
-        news = self.news[-8:]
-        for builder, member in zip(body.init("updates", len(news)), news, strict=True):
-            write_member(builder, member)
-        self._deliver(index, codec.seal(envelope))
-
-    def _send_digest(self, index):
-        codec = self.codecs[index]
-        envelope = codec.new_envelope(1)
-        write_digests(envelope, describe_services())
-        self._deliver(index, codec.seal(envelope))
-
-    def _deliver(self, index, data):
-        self.network.send(data, locate_instance(index + 1), self.home)
-
-    async def run(self):
-        """Send probes, digests and news at the rates of a fleet of this size."""
-        size = len(self.members) + 1
-        rate = _CHANGES_PER_DAY / _DAY * size / _TARGET_SIZE
-        copies = 2 * math.ceil(math.log2(size))
-        while True:
-            await trio.sleep(1.0)
-            started = time.process_time()
-            if self.rng.random() < rate:
-                self._change(copies)
-            # Each news item travels on `copies` datagrams of each instance, of which
-            # one receives about two a second.
-            self.news = [item for item in self.news if self._keep(item, copies)]
-            number = self.rng.randrange(1 << 32)
-            self._send(self.rng.randrange(len(self.members)), "ping", number)
-            for _ in range(_DIGESTS_PER_SECOND):
-                self._send_digest(self.rng.randrange(len(self.members)))
-            self.seconds += time.process_time() - started
-
-    def _change(self, copies):
-        index = self.rng.randrange(len(self.members))
-        member = self.members[index]
-        member = replace(member, revision=member.revision + 1)
-        self.members[index] = member
-        self.news.append(member)
-        self.until[member] = trio.current_time() + copies / 2
-
-    def _keep(self, member, copies):
-        return trio.current_time() < self.until[member]
-
-
-def describe_services():
-    """Return the digests of the services of one home."""
-    return [
-        ServiceDigest(f"service-{number:03}", 0.01, 0.05, 300, 6, 0)
-        for number in range(_OWN_SERVICES)
-    ]
-
-
 def make_gossip(network, rng):
     """Return the gossip that is measured."""
     own = describe_instance(0, "f" * 16, 1e9)
@@ -347,7 +244,7 @@
         before = fleet.count("member_table_fetches")
         for _ in range(seconds):
             await trio.sleep(1.0)
-            if rng.random() < _CHANGES_PER_DAY / _DAY:
+            if rng.random() < CHANGES_PER_SECOND:
                 gossip = fleet.gossips[rng.randrange(size)]
                 alive = gossip.table.own.state is InstanceState.ALIVE
                 state = InstanceState.IMPAIRED if alive else InstanceState.ALIVE
@@ -355,7 +252,7 @@
         fetches = fleet.count("member_table_fetches") - before
         nursery.cancel_scope.cancel()
     table = make_table(describe_instance(0, "f" * 16, 1e9))
-    for member in describe_alive(_TARGET_SIZE)[1:]:
+    for member in describe_alive(TARGET_SIZE)[1:]:
         table.merge(member, 0.0)
     codec = make_codec("entry-000", "f" * 16, [KEY], read_clock)
     envelope = codec.new_envelope()
@@ -437,9 +334,9 @@
         for size in options["--sizes"].split(",")
     ]
     print_costs(costs)
-    memory = run_mocked(measure_memory, _TARGET_SIZE)
+    memory = run_mocked(measure_memory, TARGET_SIZE)
     print_verdict(
-        f"member table, replay windows and digests at {_TARGET_SIZE}",
+        f"member table, replay windows and digests at {TARGET_SIZE}",
         memory / (1 << 20),
         _MAX_MEMORY_BYTES / (1 << 20),
         "MiB",
@@ -452,7 +349,7 @@
     fetches, length = run_mocked(measure_fetches, _CHURN_SIZE, _CHURN_SECONDS)
     print(
         f"tables fetched at {_CHURN_SIZE} with 1% loss: {fetches:.5f} per instance and "
-        f"second; a table of {_TARGET_SIZE} has {length} B"
+        f"second; a table of {TARGET_SIZE} has {length} B"
     )
     last = costs[-1]
     met = (
