--- a/kumquatsaddle/dispatch/peers.py
+++ b/kumquatsaddle/dispatch/peers.py
@@ -158,7 +158,7 @@
     return PeerLinks(codec, nursery)
 
 
-def fill_forward(envelope, number, kind, request, remaining):
+def fill_forward(envelope, number, kind, request, remaining, recipient):
     """Fill a ``forward`` message.
 
     Parameters
@@ -170,8 +170,12 @@
     request : Request
     remaining : float
         Time to the deadline in seconds.
+    recipient : IncarnationId
+        The incarnation that may run it; a message that was recorded cannot be used
+        at another instance, or at this one after a restart.
     """
     body = envelope.init("forward")
+    body.recipient = recipient
     body.number = number
     body.kind = kind
     body.method = request.method
--- a/kumquatsaddle/entry/control.py
+++ b/kumquatsaddle/entry/control.py
@@ -8,10 +8,13 @@
 from kumquatsaddle.exceptions import MessageError
 from kumquatsaddle.exchange import Answer, Request
 from kumquatsaddle.logs import log_event
+from kumquatsaddle.membership.exchange import fill_members, take_hello
+from kumquatsaddle.messages.codec import find_reason
 from kumquatsaddle.messages.frames import FrameReader, write_frame
 from kumquatsaddle.registries import Registry
 from kumquatsaddle.types import (
     AccountId,
+    MessageRejection,
     OperationId,
     Rank,
     RefusalReason,
@@ -118,11 +121,11 @@
                     envelope = self.node.codec.open(data)
                     kind = str(envelope.which())
                     if kind not in control_handlers.names():
-                        raise MessageError("unexpected")
+                        raise MessageError(MessageRejection.UNEXPECTED.value)
                     handle = control_handlers.get(kind)
                     nursery.start_soon(handle, self, envelope, link)
         except* MessageError as group:
-            reason = str(group.exceptions[0])
+            reason = find_reason(group.exceptions[0])
             self.node.metrics.count("messages_rejected", reason=reason)
         except* (trio.BrokenResourceError, trio.ClosedResourceError):
             self.node.metrics.count("peer_links_broken")
@@ -136,10 +139,12 @@
     body = envelope.forward
     delay = server.measure_delay(envelope)
     try:
+        if body.recipient != node.incarnation:
+            raise MessageError(MessageRejection.NOT_RECIPIENT.value)
         request = _read_request(body, trio.current_time(), delay)
     except MessageError as error:
         # Only this message is dropped; other requests use the link too.
-        node.metrics.count("messages_rejected", reason=str(error))
+        node.metrics.count("messages_rejected", reason=find_reason(error))
         return
     server.in_flight += 1
     server.last_request = trio.current_time()
@@ -165,6 +170,15 @@
     await link.send(message)
 
 
+@control_handlers.register("hello")
+async def _answer_hello(server, envelope, link):
+    node = server.node
+    take_hello(envelope, node.gossip)
+    reply = node.codec.new_envelope(node.configuration.version)
+    fill_members(reply, envelope.hello.number, node.table)
+    await link.send(reply)
+
+
 def make_control_server(node):
     """Return the server for the peers of a node."""
     return ControlServer(node)
@@ -172,7 +186,7 @@
 
 def _read_request(body, now, delay):
     if body.rank > max(Rank):
-        raise MessageError("malformed")
+        raise MessageError(MessageRejection.MALFORMED.value)
     return Request(
         method=body.method,
         target=body.target,
--- a/kumquatsaddle/entry/routing.py
+++ b/kumquatsaddle/entry/routing.py
@@ -44,7 +44,7 @@
         if member is None or member.state is InstanceState.DEAD:
             return Answer.unknown(RefusalReason.ISSUER_GONE, request.operation)
         try:
-            return await self._forward(request, member.control, TO_AUTHORITY)
+            return await self._forward(request, member, TO_AUTHORITY)
         except PeerError:
             return Answer.unknown(RefusalReason.ISSUER_GONE, request.operation)
 
@@ -65,7 +65,7 @@
         if member is None or name in self._node.gossip.unreachable:
             return None
         try:
-            return await self._forward(request, member.control, TO_AUTHORITY)
+            return await self._forward(request, member, TO_AUTHORITY)
         except PeerError as error:
             if error.written and not request.idempotent:
                 return Answer.unknown(RefusalReason.ANSWER_LOST)
@@ -110,7 +110,7 @@
         if member is None:
             return None
         try:
-            return await self._forward(request, member.control, TO_HOME)
+            return await self._forward(request, member, TO_HOME)
         except PeerError as error:
             if error.written and not request.idempotent:
                 return Answer.unknown(RefusalReason.ANSWER_LOST, request.operation)
@@ -140,12 +140,12 @@
     def _has_room(digest):
         return digest is not None and digest.free_slots > 0 and not digest.queued
 
-    async def _forward(self, request, control, kind):
+    async def _forward(self, request, member, kind):
         remaining = request.deadline - trio.current_time()
         envelope = await self._node.links.request(
-            control,
+            member.control,
             lambda envelope, number: fill_forward(
-                envelope, number, kind, request, remaining
+                envelope, number, kind, request, remaining, member.incarnation
             ),
             remaining + _REPLY_MARGIN,
         )
--- /dev/null
+++ b/kumquatsaddle/lifecycle/digests.py
@@ -0,0 +1,68 @@
+"""Exchanges digests of services with the other homes, and uses those that came."""
+
+import random
+
+import trio
+
+from kumquatsaddle.dispatch.digests import choose_digests
+from kumquatsaddle.types import BackendState
+
+__all__ = ["exchange_digests", "has_reachable_backend"]
+
+# Time in seconds between two rounds of digests.
+_INTERVAL = 1.0
+
+
+async def exchange_digests(node):
+    """Tell other homes of the services of a node, until cancelled.
+
+    Parameters
+    ----------
+    node : Node
+    """
+    rng = random.Random()
+    while True:
+        await trio.sleep(_INTERVAL * rng.uniform(0.9, 1.1))
+        _use_digests(node)
+        chosen = choose_digests(
+            node.dispatcher.describe_services(),
+            node.placement.homes_of,
+            node.name,
+            rng,
+        )
+        for home, digests in chosen.items():
+            await node.gossip.send_digests(home, digests)
+
+
+def has_reachable_backend(pools):
+    """Return whether a home can use any of its backend servers.
+
+    Parameters
+    ----------
+    pools : dict of ServiceName to ServicePool
+
+    Returns
+    -------
+    bool or None
+        None if it has none.
+    """
+    servers = [
+        server
+        for pool in pools.values()
+        for server in pool.servers.values()
+        if server.health.state is not BackendState.DRAINING
+    ]
+    if not servers:
+        return None
+    return any(_is_reachable(server) for server in servers)
+
+
+def _is_reachable(server):
+    unusable = (BackendState.EJECTED, BackendState.GONE)
+    return server.health.state not in unusable and not server.health.unreachable
+
+
+def _use_digests(node):
+    now = trio.current_time()
+    for name, pool in node.dispatcher.pools.items():
+        pool.update_peers(node.digests.current(name, now).values())
--- a/kumquatsaddle/lifecycle/node.py
+++ b/kumquatsaddle/lifecycle/node.py
@@ -32,9 +32,12 @@
 from kumquatsaddle.health.newcomers import Newcomers
 from kumquatsaddle.health.probes import watch_pools
 from kumquatsaddle.lifecycle.application import make_application
+from kumquatsaddle.lifecycle.digests import exchange_digests, has_reachable_backend
 from kumquatsaddle.lifecycle.pauses import make_pause_watch
 from kumquatsaddle.logs import log_event, set_log_level
+from kumquatsaddle.membership.exchange import fill_hello, read_members
 from kumquatsaddle.membership.gossip import make_gossip
+from kumquatsaddle.membership.judgement import make_judgement, select_serving
 from kumquatsaddle.membership.members import Member, make_table
 from kumquatsaddle.messages.codec import make_codec
 from kumquatsaddle.metrics import make_metrics
@@ -50,12 +53,12 @@
 
 # Shortest time in seconds between two derivations of the placement.
 _PLACEMENT_INTERVAL = 0.2
-# States in which an instance is answered to callers and is home of groups.
-SERVING = (InstanceState.ALIVE,)
 # States in which an instance still answers requests for the groups it is home of.
 _HOLDING = (InstanceState.ALIVE, InstanceState.IMPAIRED, InstanceState.LEAVING)
 # Orders of homes that are kept, one for each service and account in use.
 _MAX_HOME_ORDERS = 8192
+# Time in seconds for a member table from a peer.
+_TABLE_TIMEOUT = 5.0
 _RANDOM_KEY_BYTES = 32
 # Claims a second over the whole fleet; each is two writes to a table that takes
 # several hundred a second. Every instance has an equal share and a burst.
@@ -102,6 +105,14 @@
             self._note_version,
         )
         self.digests = make_digests()
+        self.gossip.fetch_table = self._fetch_table
+        self.gossip.on_digest = self._record_digests
+        self.judgement = make_judgement(
+            self.gossip,
+            self.metrics,
+            lambda: self.configuration.version,
+            lambda: has_reachable_backend(self.dispatcher.pools),
+        )
         self.pauses = make_pause_watch()
         self.links = None
         self.callers = None
@@ -131,14 +142,10 @@
     def serving_members(self):
         """Return the members that are answered to callers, this instance included.
 
-        While the whole fleet is leaving, the leaving members are returned.
+        Impaired members stay if more than half of the fleet is impaired for the same
+        reason. While the whole fleet is leaving, the leaving members are returned.
         """
-        members = self.table.members.values()
-        serving = [member for member in members if member.state in SERVING]
-        if serving:
-            return serving
-        leaving = (InstanceState.LEAVING, InstanceState.IMPAIRED)
-        return [member for member in members if member.state in leaving]
+        return select_serving(self.table.members.values())
 
     def order_homes(self, service, account):
         """Return the serving homes of a service in the order of an account."""
@@ -186,6 +193,7 @@
         )
 
     def _note_version(self, member, version):
+        self.judgement.note_version(version)
         self.distribution.on_version(member, version)
 
     def _take_list(self):
@@ -215,6 +223,18 @@
         """Run an async function as a task of the node."""
         self._nursery.start_soon(function, *arguments)
 
+    async def _fetch_table(self, address, own):
+        envelope = await self.links.request(
+            address,
+            lambda envelope, number: fill_hello(envelope, number, own),
+            _TABLE_TIMEOUT,
+        )
+        return read_members(envelope)
+
+    def _record_digests(self, member, digests):
+        for digest in digests:
+            self.digests.record(member, digest, trio.current_time())
+
     async def _write_seeds(self):
         """Write the configuration of the settings to the embedded platform."""
         changes = list(seed_changes(self.settings.seeds))
@@ -260,6 +280,8 @@
         await self.update_placement()
         nursery.start_soon(self.distribution.run)
         nursery.start_soon(self._watch_placement)
+        nursery.start_soon(exchange_digests, self)
+        nursery.start_soon(self.judgement.run)
         nursery.start_soon(watch_pools, self.dispatcher.pools)
 
     def reload(self):
--- a/kumquatsaddle/messages/messages.capnp
+++ b/kumquatsaddle/messages/messages.capnp
@@ -33,22 +33,26 @@
   region @6 :Text;
   control @7 :Text;        # host:port
   callers @8 :Text;        # host:port
+  impairment @9 :UInt8;    # 0, or 1 + index of the reason why it is IMPAIRED
 }
 
 struct Ping {
   number @0 :UInt32;
   updates @1 :List(Member);
+  tableDigest @2 :UInt64;  # of the sender's member table
 }
 
 struct Ack {
   number @0 :UInt32;
   updates @1 :List(Member);
+  tableDigest @2 :UInt64;
 }
 
 struct PingRequest {
   number @0 :UInt32;
   target @1 :Text;         # control address
   updates @2 :List(Member);
+  tableDigest @3 :UInt64;
 }
 
 struct Digest {
@@ -83,6 +87,7 @@
   remainingMs @10 :UInt32;
   operation @11 :Text;
   floor @12 :Float32;      # requests a second
+  recipient @13 :Text;     # incarnation that may run it
 }
 
 struct ForwardReply {
@@ -113,6 +118,7 @@
 
 struct Hello {
   number @0 :UInt32;
+  member @1 :Member;       # the sender
 }
 
 struct Members {
--- a/tests/steps/strangers.py
+++ b/tests/steps/strangers.py
@@ -40,13 +40,13 @@
         return make_codec("member", secrets.token_hex(8), [stream.read().strip()])
 
 
-def seal_order(codec, operation):
+def seal_order(codec, operation, recipient):
     order = Request(
         "POST", "/order", [], b"x", "shop", "order", Rank.STANDARD, False, 0.0
     )
     order.operation = operation
     envelope = codec.new_envelope()
-    fill_forward(envelope, 1, TO_HOME, order, 2.0)
+    fill_forward(envelope, 1, TO_HOME, order, 2.0, recipient)
     return codec.seal(envelope)
 
 
@@ -97,7 +97,8 @@
 def forward_order(context):
     async def run():
         for entry in context.fleet.nodes:
-            data = seal_order(make_stranger(), "forged.1.1.x")
+            recipient = entry.node.incarnation
+            data = seal_order(make_stranger(), "forged.1.1.x", recipient)
             await send_frame(control_of(entry), data)
 
     context.loop.run(run)
@@ -107,13 +108,24 @@
 def replay_order(context, count):
     async def run():
         entry = find_home(context.fleet)
-        data = seal_order(make_member(entry), "recorded.1.1.x")
+        recipient = entry.node.incarnation
+        data = seal_order(make_member(entry), "recorded.1.1.x", recipient)
         for _ in range(count):
             await send_frame(control_of(entry), data)
 
     context.loop.run(run)
 
 
+@when("a recorded forwarded order for one instance is sent to another one")
+def replay_elsewhere(context):
+    async def run():
+        home = find_home(context.fleet)
+        data = seal_order(make_member(home), "recorded.1.1.x", "0123456789abcdef")
+        await send_frame(control_of(home), data)
+
+    context.loop.run(run)
+
+
 def find_home(fleet):
     for entry in fleet.nodes:
         if "order" in entry.node.dispatcher.pools:
@@ -128,7 +140,8 @@
     async def run():
         for entry in context.fleet.nodes:
             address = control_of(entry)
-            whole = seal_order(make_member(entry), "broken.1.1.x")
+            recipient = entry.node.incarnation
+            whole = seal_order(make_member(entry), "broken.1.1.x", recipient)
             for _ in range(20):
                 cut = whole[: rng.randrange(len(whole))]
                 await send_datagram(address, cut)
--- a/tests/strangers.feature
+++ b/tests/strangers.feature
@@ -19,6 +19,13 @@
     When a recorded forwarded order is sent 3 times to one instance
     Then 1 order ran
 
+  Scenario: A message that was recorded is of no use at another instance
+    # Guards against a second run from a message recorded on its way to another
+    # instance, or to this one before its restart.
+    Given a fleet of 2 instances
+    When a recorded forwarded order for one instance is sent to another one
+    Then 0 orders ran
+
   Scenario: Broken messages do not end an instance
     # Guards against a crash by frames that are cut, too long or no messages at all.
     Given a fleet of 2 instances
