--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -30,7 +30,7 @@
 from kumquatsaddle.registries import Registry
 from kumquatsaddle.types import RefusalReason
 
-__all__ = ["main", "measures"]
+__all__ = ["main", "make_inputs", "measures"]
 
 measures = Registry("measure")
 
@@ -40,7 +40,8 @@
 _NODES = 520
 
 
-def _make_inputs(nodes, backends):
+def make_inputs(nodes=_NODES, backends=_BACKENDS):
+    """Return services, backend servers and candidates of a fleet of some size."""
     rng = random.Random(1)
     services = [
         parse_entity("service", f"service-{number}", {}) for number in range(_SERVICES)
@@ -93,7 +94,7 @@
     sizes = (65, 130, 260, 390, 520)
     values = []
     for nodes in sizes:
-        inputs = _make_inputs(nodes, _BACKENDS)
+        inputs = make_inputs(nodes, _BACKENDS)
         make_placement(*inputs)
         values.append(_time_call(lambda: make_placement(*inputs), repeats))
     return fit_line("placement, 4300 backend servers", "ms", "nodes", sizes, values)
@@ -105,7 +106,7 @@
     sizes = (540, 1080, 2150, 3200, 4300)
     values = []
     for backends in sizes:
-        inputs = _make_inputs(_NODES, backends)
+        inputs = make_inputs(_NODES, backends)
         make_placement(*inputs)
         values.append(_time_call(lambda: make_placement(*inputs), repeats))
     return fit_line("placement, 520 nodes", "ms", "servers", sizes, values)
@@ -117,7 +118,7 @@
     sizes = (540, 1080, 2150, 3200, 4300)
 
     def make(backends):
-        inputs = _make_inputs(_NODES, backends)
+        inputs = make_inputs(_NODES, backends)
         return inputs, make_placement(*inputs)
 
     make(sizes[0])
--- /dev/null
+++ b/benchmarks/soak.py
@@ -0,0 +1,59 @@
+"""Searches for faults that break the promises to callers; ``make soak`` runs this.
+
+Usage:
+  benchmarks.soak [--seed=N] [--minutes=M] [--instances=N] [--replay]
+
+Options:
+  --seed=N       First seed [default: 1].
+  --minutes=M    Time to search [default: 1].
+  --instances=N  Instances of the fleet [default: 3].
+  --replay       Run the one seed only.
+
+Each round runs a fleet under load for some seconds with faults composed at random from
+its seed, prints the seed, and checks the account of the callers against the work of the
+backend servers. A failing seed is printed with the command that replays it. Faults and
+load follow from the seed; the interleaving of tasks and sockets does not.
+"""
+
+import sys
+import time
+
+import trio
+from docopt import docopt
+
+from kumquatsaddle.logs import set_log_level
+from kumquatsaddle.testing.chaos import run_chaos
+from kumquatsaddle.testing.fleet import open_fleet
+
+__all__ = ["main"]
+
+_ROUND_SECONDS = 8.0
+
+
+async def _run_round(seed, instances):
+    async with open_fleet(instances, 3, work=0.005) as fleet:
+        account = await run_chaos(fleet, seed, _ROUND_SECONDS)
+        return account.outcomes
+
+
+def main(arguments=None):
+    """Search until the time is over or a seed fails; return 1 if one did."""
+    options = docopt(__doc__, argv=arguments)
+    set_log_level("ERROR")
+    seed, instances = int(options["--seed"]), int(options["--instances"])
+    ends = time.monotonic() + 60 * float(options["--minutes"])
+    while True:
+        print(f"seed {seed}: ", end="", flush=True)
+        try:
+            print(trio.run(_run_round, seed, instances), flush=True)
+        except (AssertionError, BaseExceptionGroup) as error:
+            print(f"failed: {error!r}")
+            print(f"replay: python -m benchmarks.soak --seed={seed} --replay")
+            return 1
+        if options["--replay"] or time.monotonic() >= ends:
+            return 0
+        seed += 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
