--- a/demo/run.py
+++ b/demo/run.py
@@ -12,11 +12,12 @@
 
 import trio
 
-from demo.caller import Caller
 from demo.fleet import Fleet, call_http
+from kumquatsaddle.caller import make_caller
 from kumquatsaddle.configuration.changes import commit_change
 from kumquatsaddle.dispatch.connections import open_connection
 from kumquatsaddle.platform.http import HttpPlatform
+from kumquatsaddle.types import Outcome
 
 __all__ = ["main"]
 
@@ -70,9 +71,9 @@
     def add(self, result, target, body):
         """Add the result of a request."""
         self.sent += 1
-        if result.outcome == "done":
+        if result.outcome is Outcome.DONE:
             self._check(result, target, body)
-        elif result.outcome == "not-run":
+        elif result.outcome is Outcome.NOT_RUN:
             self.refused[result.reason] = self.refused.get(result.reason, 0) + 1
             self.not_run.add(result.operation)
         else:
@@ -94,15 +95,15 @@
 async def _send_lookups(caller, tally, tag, count):
     for number in range(count):
         target = f"/lookup/{tag}/{number}"
-        tally.add(await caller.send("GET", target), target, b"")
+        result = await caller.send("GET", target, idempotent=True)
+        tally.add(result, target, b"")
         await trio.sleep(_PAUSE)
 
 
 async def _send_orders(caller, tally, tag, count):
     for number in range(count):
         target, body = f"/order/{tag}", f"order {tag} {number}".encode()
-        operation = await caller.take_operation()
-        result = await caller.send("POST", target, body, operation)
+        result = await caller.send("POST", target, body)
         tally.add(result, target, body)
         await trio.sleep(_PAUSE)
 
@@ -136,8 +137,10 @@
     direct = await _measure_direct(backend, count)
     through = []
     for number in range(count):
-        result = await caller.send("GET", f"/lookup/added/{number}")
-        through.append(_subtract_work(result.latency, result.backend_time))
+        result = await caller.send("GET", f"/lookup/added/{number}", idempotent=True)
+        through.append(
+            _subtract_work(result.latency, result.get_header("backend-time-us"))
+        )
     return sorted(direct), sorted(through)
 
 
@@ -188,14 +191,14 @@
     print(f"fleet started in {time.monotonic() - started:.1f} s", flush=True)
     tallies = {rank: Tally() for rank in RANKS}
     report = {}
-    caller = Caller(nodes, "lookup", "urgent-0")
+    caller = make_caller(nodes, "lookup", "urgent-0")
     direct, through = await _measure_added(caller, backends[0])
     async with trio.open_nursery() as nursery:
         for rank in RANKS:
             for number in range(_CALLERS_PER_RANK):
                 account = f"{rank}-{number}"
-                lookups = Caller(nodes, "lookup", account)
-                orders = Caller(nodes, "order", account)
+                lookups = make_caller(nodes, "lookup", account)
+                orders = make_caller(nodes, "order", account)
                 tally = tallies[rank]
                 nursery.start_soon(
                     _send_lookups, lookups, tally, account, _LOOKUPS_PER_CALLER
