--- a/docs/tests/pages.py
+++ b/docs/tests/pages.py
@@ -4,20 +4,9 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-__all__ = [
-    "MISSING",
-    "NOT_RUN",
-    "ROOT",
-    "Block",
-    "Command",
-    "find_links",
-    "find_modules",
-    "find_paths",
-    "list_anchors",
-    "list_pages",
-    "read_blocks",
-    "read_commands",
-]
+__all__ = ["MISSING", "NOT_RUN", "ROOT", "Block", "Command", "find_links"]
+__all__ += ["find_modules", "find_paths", "list_anchors", "list_pages"]
+__all__ += ["read_blocks", "read_commands"]
 
 ROOT = Path(__file__).resolve().parents[2]
 # Commands that the pages show and the tests do not run, with the reason.
--- a/docs/tests/sessions.py
+++ b/docs/tests/sessions.py
@@ -26,12 +26,9 @@
 
 
 def run_page(page):
-    """Run the commands of a page.
+    """Run the commands of a page; return command, exit code and output of each.
 
-    Returns
-    -------
-    list of (Command, int or None, str)
-        Each command with its exit code, None if it was not reached, and its output.
+    The exit code of a command that was not reached is None.
     """
     blocks = read_blocks(page)
     commands = [
@@ -50,23 +47,21 @@
     return _split_output(commands, output)
 
 
-def _move(text):
-    return text.replace("127.0.0.", _NETWORK)
-
-
 def _fill_folder(folder, blocks):
     binaries = folder / ".bin"
     binaries.mkdir()
     for name in _BINARIES:
-        module = f"-m kumquatsaddle.commands.{name}"
-        _write_wrapper(binaries / f"kumquatsaddle-{name}", module)
+        arguments = f"-m kumquatsaddle.commands.{name}"
+        _write_wrapper(binaries / f"kumquatsaddle-{name}", arguments)
     _write_wrapper(binaries / "python", "")
     (folder / "demo").mkdir()
     settings = ROOT / "demo" / "laptop.ini"
-    (folder / "demo" / "laptop.ini").write_text(_move(settings.read_text()))
+    (folder / "demo" / "laptop.ini").write_text(
+        settings.read_text().replace("127.0.0.", _NETWORK)
+    )
     for block in blocks:
         if block.file:
-            (folder / block.file).write_text(_move(block.text))
+            (folder / block.file).write_text(block.text.replace("127.0.0.", _NETWORK))
 
 
 def _write_wrapper(path, arguments):
@@ -78,7 +73,7 @@
     lines = ["shopt -u huponexit"]
     for number, command in enumerate(commands):
         lines.append(f"echo; echo '{_MARK} start {number}'")
-        lines.append(_move(command.text))
+        lines.append(command.text.replace("127.0.0.", _NETWORK))
         lines.append(f'code=$?; echo; echo "{_MARK} end {number} $code"')
     return "\n".join(lines) + "\n"
 
@@ -117,12 +112,8 @@
 def _split_output(commands, output):
     results = []
     for number, command in enumerate(commands):
-        mark = re.escape(_MARK)
-        match = re.search(
-            rf"\n{mark} start {number}\n(.*?)\n{mark} end {number} (\d+)\n",
-            output,
-            re.DOTALL,
-        )
+        start, end = f"\n{_MARK} start {number}\n", f"\n{_MARK} end {number} "
+        match = re.search(rf"{start}(.*?){end}(\d+)\n", output, re.DOTALL)
         text, code = (match[1], int(match[2])) if match else (output, None)
         results.append((command, code, text.replace(_NETWORK, "127.0.0.")))
     return results
--- a/docs/tests/steps/pages.py
+++ b/docs/tests/steps/pages.py
@@ -4,18 +4,8 @@
 
 from behave import then, when
 
-from docs.tests.pages import (
-    MISSING,
-    NOT_RUN,
-    ROOT,
-    find_links,
-    find_modules,
-    find_paths,
-    list_anchors,
-    list_pages,
-    read_blocks,
-    read_commands,
-)
+from docs.tests import pages
+from docs.tests.pages import MISSING, NOT_RUN, ROOT, list_pages, read_blocks
 from docs.tests.sessions import run_page
 from kumquatsaddle.exchange import Answer
 from kumquatsaddle.types import RefusalReason
@@ -39,7 +29,7 @@
         [
             f"{name_of(page)}: {path}"
             for page in list_pages()
-            for path in find_paths(page)
+            for path in pages.find_paths(page)
             if path not in MISSING and not PLACEHOLDER.search(path)
             if not any(ROOT.glob(path))
         ]
@@ -67,7 +57,7 @@
         [
             f"{name_of(page)}: {name}"
             for page in list_pages()
-            for name in find_modules(page)
+            for name in pages.find_modules(page)
             if not is_importable(name)
         ]
     )
@@ -78,12 +68,12 @@
     file = (page.parent / path).resolve() if path else page
     if not file.exists():
         return False
-    return not anchor or anchor in list_anchors(file)
+    return not anchor or anchor in pages.list_anchors(file)
 
 
 @then("every relative link of the pages resolves")
 def check_links(context):
-    links = [(page, link) for page in list_pages() for link in find_links(page)]
+    links = [(page, link) for page in list_pages() for link in pages.find_links(page)]
     assert links
     check_none(
         [f"{name_of(page)}: {link}" for page, link in links if not resolves(page, link)]
@@ -93,9 +83,9 @@
 @then("the index links to every page below docs")
 def check_index(context):
     index = ROOT / "docs" / "README.md"
-    linked = {(index.parent / link).resolve() for link in find_links(index)}
-    pages = [page for page in list_pages() if page.parent != ROOT and page != index]
-    check_none([name_of(page) for page in pages if page not in linked])
+    linked = {(index.parent / link).resolve() for link in pages.find_links(index)}
+    listed = [page for page in list_pages() if page.parent != ROOT and page != index]
+    check_none([name_of(page) for page in listed if page not in linked])
 
 
 @then("the protocol page lists every refusal reason with its status and outcome")
@@ -117,7 +107,7 @@
         for page in list_pages()
         for block in read_blocks(page)
         if block.language == "console"
-        for command in read_commands(block)
+        for command in pages.read_commands(block)
     ]
 
 
@@ -151,16 +141,13 @@
 
 @then("every page with commands that may run is named in this feature")
 def check_coverage(context):
-    pages = {
-        name_of(page)
-        for page, command in list_commands()
-        if command.text not in NOT_RUN
-    }
+    shown = list_commands()
+    runnable = {name_of(page) for page, entry in shown if entry.text not in NOT_RUN}
     outlines = [
         entry for entry in context.feature.scenarios if hasattr(entry, "examples")
     ]
     named = {row["page"] for entry in outlines for row in entry.examples[0].table}
-    assert pages == named, pages ^ named
+    assert runnable == named, runnable ^ named
 
 
 @then("the Python examples of all pages give the results shown")
