--- a/benchmarks/movement.py
+++ b/benchmarks/movement.py
@@ -16,7 +16,7 @@
 
 from benchmarks.slopes import make_inputs
 from kumquatsaddle.addresses.answers import order_homes
-from kumquatsaddle.addresses.placement import make_placement
+from kumquatsaddle.addresses.planner import make_placement
 
 __all__ = ["main"]
 
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -22,7 +22,7 @@
 from kumquatsaddle.addresses.answers import order_homes
 from kumquatsaddle.addresses.groups import Backend
 from kumquatsaddle.addresses.homes import HomeCandidate
-from kumquatsaddle.addresses.placement import make_placement
+from kumquatsaddle.addresses.planner import make_placement
 from kumquatsaddle.admission.limits import make_limits
 from kumquatsaddle.configuration.entities import Limit, parse_entity
 from kumquatsaddle.operations.issuer import make_incarnation, make_issuer
--- a/docs/tests/pages.py
+++ b/docs/tests/pages.py
@@ -20,7 +20,6 @@
 # What pages name although it does not exist, with the reason.
 MISSING = {
     "docs/CAPACITY.md": "announced by docs/design.md",
-    "make bench": "announced by docs/design.md; there is no benchmarks.run",
 }
 
 _FENCE = re.compile(
--- a/kumquatsaddle/addresses/homes.py
+++ b/kumquatsaddle/addresses/homes.py
@@ -11,7 +11,7 @@
 from kumquatsaddle.addresses.scores import combine_scores, hash_name
 from kumquatsaddle.types import InstanceId, RegionId, ZoneId
 
-__all__ = ["HomeCandidate", "assign_homes"]
+__all__ = ["HomeCandidate", "assign_homes", "assign_pool", "split_pools"]
 
 # Highest load of an instance over the mean of its zone. A lower bound moves more
 # groups when instances come and go; a higher one loads instances more unevenly.
@@ -43,24 +43,45 @@
     dict of GroupId to InstanceId
         Groups of a region without a candidate are absent.
     """
+    homes = {}
+    for members, pool in split_pools(groups, candidates).values():
+        homes.update(assign_pool(members, pool, load_bound))
+    return homes
+
+
+def split_pools(groups, candidates):
+    """Return which groups are assigned among which candidates.
+
+    Parameters
+    ----------
+    groups : iterable of Group
+    candidates : iterable of HomeCandidate
+
+    Returns
+    -------
+    dict of tuple to tuple
+        Region and zone, or region and None where a zone has no candidate, to the
+        groups and the candidates of the pool. Pools do not depend on each other.
+    """
     by_zone, by_region = {}, {}
     for candidate in sorted(candidates, key=lambda entry: entry.name):
         by_zone.setdefault((candidate.region, candidate.zone), []).append(candidate)
         by_region.setdefault(candidate.region, []).append(candidate)
-    pools = {}
+    members = {}
     for group in groups:
         zone = (group.region, group.zone)
         place = zone if zone in by_zone else (group.region, None)
-        pools.setdefault(place, []).append(group)
-    homes = {}
-    for (region, zone), members in pools.items():
+        members.setdefault(place, []).append(group)
+    pools = {}
+    for (region, zone), entries in members.items():
         pool = by_zone[region, zone] if zone is not None else by_region.get(region)
         if pool:
-            homes.update(_assign_pool(members, pool, load_bound))
-    return homes
+            pools[region, zone] = (tuple(entries), tuple(pool))
+    return pools
 
 
-def _assign_pool(groups, pool, load_bound):
+def assign_pool(groups, pool, load_bound=_LOAD_BOUND):
+    """Assign the groups of one pool; see `assign_homes`."""
     total = sum(len(group.members) for group in groups)
     mean = total / len(pool)
     # With few groups an instance the factor alone leaves no choice, and one instance
--- a/kumquatsaddle/addresses/placement.py
+++ b/kumquatsaddle/addresses/placement.py
@@ -1,9 +1,6 @@
 """The placement: groups, homes and members of every service, seen by one instance."""
 
-from kumquatsaddle.addresses.groups import plan_groups
-from kumquatsaddle.addresses.homes import assign_homes
-
-__all__ = ["Placement", "make_placement"]
+__all__ = ["Placement"]
 
 
 class Placement:
@@ -39,29 +36,3 @@
             Number of backend servers at each home.
         """
         return self._weights.get(service, {})
-
-
-def make_placement(services, backends, candidates):
-    """Derive the placement.
-
-    Parameters
-    ----------
-    services : iterable of Service
-    backends : iterable of Backend
-    candidates : iterable of HomeCandidate
-
-    Returns
-    -------
-    Placement
-    """
-    by_service = {}
-    for backend in backends:
-        by_service.setdefault(backend.service, []).append(backend)
-    groups = {}
-    for service in services:
-        members = by_service.get(service.name)
-        if members:
-            planned = plan_groups(service.name, members, service.floor)
-            groups.update((group.name, group) for group in planned)
-    homes = assign_homes(groups.values(), candidates)
-    return Placement(groups, homes)
--- a/kumquatsaddle/addresses/tests/addresses.feature
+++ b/kumquatsaddle/addresses/tests/addresses.feature
@@ -22,3 +22,8 @@
   Scenario: A zone without instances is served from its own region
     # Guards against homes that a partition between regions cuts off.
     Then a zone without instances is served from its region only
+
+  Scenario: A planner derives what a fresh derivation would
+    # Guards against a placement that depends on what an instance saw before, which
+    # would let two instances derive different homes.
+    Then any sequence of lists and instances gives the same placements as from scratch
--- a/kumquatsaddle/addresses/tests/steps/addresses.py
+++ b/kumquatsaddle/addresses/tests/steps/addresses.py
@@ -8,7 +8,7 @@
 from kumquatsaddle.addresses.answers import order_homes
 from kumquatsaddle.addresses.groups import Backend, ejection_allowance, plan_groups
 from kumquatsaddle.addresses.homes import HomeCandidate, assign_homes
-from kumquatsaddle.addresses.placement import make_placement
+from kumquatsaddle.addresses.planner import make_placement, make_planner
 from kumquatsaddle.configuration.entities import parse_entity
 
 zones = st.sampled_from(["a", "b", "c"])
@@ -127,3 +127,30 @@
     other = HomeCandidate("n2", "z1", "west")
     assert set(assign_homes(groups, [same, other]).values()) == {"n1"}
     assert assign_homes(groups, [other]) == {}
+
+
+@then("any sequence of lists and instances gives the same placements as from scratch")
+def check_planner(context):
+    names = st.sets(st.integers(0, 11))
+    step = st.tuples(names, names, floors)
+
+    @for_all(st.lists(step, min_size=1, max_size=6))
+    def check(steps):
+        planner = make_planner()
+        for servers, instances, floor in steps:
+            services = [parse_entity("service", "s", {"floor": floor})]
+            listed = [make_backend(number) for number in sorted(servers)]
+            candidates = [make_candidate(number) for number in sorted(instances)]
+            derived = planner.derive(services, listed, candidates)
+            fresh = make_placement(services, listed, candidates)
+            assert derived.groups == fresh.groups and derived.homes == fresh.homes
+
+    check()
+
+
+def make_backend(number):
+    return Backend(f"b{number}", "s", "127.0.0.1:1", f"z{number % 3}", "r")
+
+
+def make_candidate(number):
+    return HomeCandidate(f"n{number}", f"z{number % 3}", "r")
--- a/kumquatsaddle/lifecycle/node.py
+++ b/kumquatsaddle/lifecycle/node.py
@@ -13,7 +13,7 @@
 from kumquatsaddle.addresses.answers import order_homes
 from kumquatsaddle.addresses.groups import Backend
 from kumquatsaddle.addresses.homes import HomeCandidate
-from kumquatsaddle.addresses.placement import make_placement
+from kumquatsaddle.addresses.planner import make_planner
 from kumquatsaddle.admission.limits import TokenBucket, make_limits
 from kumquatsaddle.clocks import make_steady_clock
 from kumquatsaddle.configuration.changes import change_key, seed_changes
@@ -129,7 +129,8 @@
         self.operators = make_operators_server(self)
         self.backends = []
         self.newcomers = Newcomers()
-        self.placement = make_placement((), (), ())
+        self._planner = make_planner()
+        self.placement = self._planner.derive((), (), ())
         self._placement_key = None
         self._held_groups = {}
         self._home_orders = {}
@@ -179,7 +180,9 @@
             for member in self.serving_members()
         ]
         services = self.configuration.services
-        self.placement = make_placement(services.values(), self.backends, candidates)
+        self.placement = self._planner.derive(
+            services.values(), self.backends, candidates
+        )
         self._home_orders.clear()
         groups = {group.name: group for group in self.placement.groups_of(self.name)}
         if self.table.own.state is InstanceState.LEAVING:
