Use TLS between instances and bound strangers on the control address

Links between instances were plain TCP although the settings name certificates, and a process without the key could hold any number of connections, tasks and 16 MiB frames at an instance.

Links use mutual TLS when [tls] control_certificate_file is set; SIGHUP reads the files again for new links. A link starts with a ping whose ack is awaited, so a refused link counts as not written. Connections without a valid message are at most 64, send at most 4 KiB each and end after 5 s; the oldest gives way to a new one. At most 2,048 links are accepted. Refusals are counted by LinkRefusal.

--- a/kumquatsaddle/dispatch/peers.py
+++ b/kumquatsaddle/dispatch/peers.py
@@ -13,7 +13,15 @@
 
 __all__ = ["PeerError", "PeerLinks", "make_links", "read_answer", "write_answer"]
 
+# Times in seconds to connect, and for TLS and the reply to the first message.
 _CONNECT_TIMEOUT = 0.5
+_INTRODUCTION_TIMEOUT = 2.0
+_LINK_ERRORS = (
+    trio.BrokenResourceError,
+    trio.ClosedResourceError,
+    trio.TooSlowError,
+    MessageError,
+)
 _OUTCOMES = tuple(Outcome)
 
 
@@ -36,6 +44,7 @@
 
     def __init__(self, stream):
         self.stream = stream
+        self.reader = FrameReader(stream)
         self.lock = trio.Lock()
         self.waiting = {}
         self.number = 0
@@ -49,10 +58,13 @@
     codec : MessageCodec
     nursery : trio.Nursery
         Runs the reader task of each link.
+    context : ssl.SSLContext, optional
+        Without one, links are plain TCP.
     """
 
-    def __init__(self, codec, nursery):
+    def __init__(self, codec, nursery, context=None):
         self._codec = codec
+        self._context = context
         self._nursery = nursery
         self._links = {}
         self._locks = {}
@@ -74,7 +86,12 @@
         PeerError
             If the peer cannot be reached, goes away or does not reply in time.
         """
-        link = await self._open(address)
+        try:
+            # Each request that waits for the lock of a link has its own time limit.
+            with trio.fail_after(timeout):
+                link = await self._open(address)
+        except trio.TooSlowError as error:
+            raise PeerError(False, error) from None
         link.number += 1
         number, event = link.number, trio.Event()
         envelope = self._codec.new_envelope()
@@ -89,6 +106,10 @@
             raise PeerError(True, "no reply")
         return reply[1]
 
+    def use_context(self, context):
+        """Use a TLS context, or None for plain TCP, for new links."""
+        self._context = context
+
     async def close(self):
         """Close all links."""
         for address, link in list(self._links.items()):
@@ -121,15 +142,43 @@
                     stream = await trio.open_tcp_stream(target.host, target.port)
             except (OSError, trio.TooSlowError) as error:
                 raise PeerError(False, error) from None
-            link = self._links[address] = _Link(stream)
+            link = self._links[address] = await self._introduce(stream)
             self._nursery.start_soon(self._read, address, link)
             return link
 
+    async def _introduce(self, stream):
+        """Return the link on a stream once the peer has accepted a first message.
+
+        A server of TLS 1.3 may refuse a certificate after the client has written, and
+        a peer closes links that start with a long message. With the reply awaited, a
+        refused link counts as one on which no byte of a request was written.
+        """
+        if self._context is not None:
+            # The end of a frame is known without the closing message of TLS.
+            stream = trio.SSLStream(stream, self._context, https_compatible=True)
+        link = _Link(stream)
+        try:
+            with trio.fail_after(_INTRODUCTION_TIMEOUT):
+                await self._exchange_ping(link)
+        except BaseException as error:
+            await trio.aclose_forcefully(stream)
+            if isinstance(error, _LINK_ERRORS):
+                raise PeerError(False, error) from None
+            raise
+        return link
+
+    async def _exchange_ping(self, link):
+        envelope = self._codec.new_envelope()
+        envelope.init("ping")
+        await write_frame(link.stream, self._codec.seal(envelope))
+        data = await link.reader.read()
+        if data is None or str(self._codec.open(data).which()) != "ack":
+            raise PeerError(False, "first message not accepted")
+
     async def _read(self, address, link):
-        reader = FrameReader(link.stream)
         try:
             while True:
-                data = await reader.read()
+                data = await link.reader.read()
                 if data is None:
                     break
                 envelope = self._codec.open(data)
@@ -153,9 +202,9 @@
         await trio.aclose_forcefully(link.stream)
 
 
-def make_links(codec, nursery):
+def make_links(codec, nursery, context=None):
     """Return links without any connection; see `PeerLinks`."""
-    return PeerLinks(codec, nursery)
+    return PeerLinks(codec, nursery, context)
 
 
 def fill_forward(envelope, number, kind, request, remaining, recipient):
--- a/kumquatsaddle/entry/control.py
+++ b/kumquatsaddle/entry/control.py
@@ -5,15 +5,17 @@
 from kumquatsaddle.configuration.transport import write_changes_reply
 from kumquatsaddle.dispatch.peers import read_headers, write_answer
 from kumquatsaddle.entry.proxy import make_proxy
+from kumquatsaddle.entry.tls import make_control_server_context
 from kumquatsaddle.exceptions import MessageError
 from kumquatsaddle.exchange import Answer, Request
 from kumquatsaddle.logs import log_event
 from kumquatsaddle.membership.exchange import fill_members, take_hello
 from kumquatsaddle.messages.codec import find_reason
-from kumquatsaddle.messages.frames import FrameReader, write_frame
+from kumquatsaddle.messages.frames import MAX_FRAME_BYTES, FrameReader, write_frame
 from kumquatsaddle.registries import Registry
 from kumquatsaddle.types import (
     AccountId,
+    LinkRefusal,
     MessageRejection,
     OperationId,
     Rank,
@@ -30,6 +32,13 @@
 # Time in seconds without a forwarded request after which a leaving instance may go.
 _QUIET_TIME = 0.3
 _DRAIN_POLL = 0.05
+# Accepted connections; at 520 instances each opens one, and old ones may linger.
+_MAX_LINKS = 2048
+# Connections that have not sent a valid message yet, the time in seconds until they
+# must have, and the longest first message in bytes. Together they hold under 1 MiB.
+_MAX_STRANGERS = 64
+_INTRODUCTION_TIMEOUT = 5.0
+_MAX_FIRST_BYTES = 4096
 # Incarnations whose shortest transit time is remembered.
 _MAX_SENDERS = 2048
 
@@ -61,14 +70,27 @@
     Parameters
     ----------
     node : Node
+    context : ssl.SSLContext, optional
+        Without one, links are plain TCP.
     """
 
-    def __init__(self, node):
+    def __init__(self, node, context=None):
         self.node = node
+        self.max_links = _MAX_LINKS
         self.proxy = make_proxy(node)
         self.in_flight = 0
         self.last_request = 0.0
         self._transits = {}
+        self._context = context
+        self._links = 0
+        # Scopes of connections without a valid message, oldest first.
+        self._strangers = {}
+        for reason in LinkRefusal:
+            self._count_refusal(reason, 0)
+
+    def use_context(self, context):
+        """Use a TLS context, or None for plain TCP, for new links."""
+        self._context = context
 
     async def run(self, address, task_status=trio.TASK_STATUS_IGNORED):
         """Serve other instances at `address` until cancelled."""
@@ -110,28 +132,89 @@
         return trio.current_time() - self.last_request < _QUIET_TIME
 
     async def _serve_link(self, stream):
-        reader = FrameReader(stream)
-        link = Link(stream, self.node.codec)
+        if self._links >= self.max_links:
+            self._count_refusal(LinkRefusal.TOO_MANY)
+            await trio.aclose_forcefully(stream)
+            return
+        self._links += 1
         try:
-            async with trio.open_nursery() as nursery:
-                while True:
-                    data = await reader.read()
-                    if data is None:
-                        break
-                    envelope = self.node.codec.open(data)
-                    kind = str(envelope.which())
-                    if kind not in control_handlers.names():
-                        raise MessageError(MessageRejection.UNEXPECTED.value)
-                    handle = control_handlers.get(kind)
-                    nursery.start_soon(handle, self, envelope, link)
+            first = await self._admit(stream)
+            if first is not None:
+                await self._serve_messages(*first)
         except* MessageError as group:
             reason = find_reason(group.exceptions[0])
             self.node.metrics.count("messages_rejected", reason=reason)
         except* (trio.BrokenResourceError, trio.ClosedResourceError):
             self.node.metrics.count("peer_links_broken")
         finally:
+            self._links -= 1
             await trio.aclose_forcefully(stream)
 
+    async def _admit(self, stream):
+        """Return stream, reader and first message, or None if the link is refused.
+
+        The oldest connection without a valid message gives way to a new one, so that
+        silent connections cannot keep instances out, which send theirs at once.
+        """
+        scope = trio.CancelScope(deadline=trio.current_time() + _INTRODUCTION_TIMEOUT)
+        if len(self._strangers) >= _MAX_STRANGERS:
+            oldest = next(iter(self._strangers))
+            del self._strangers[oldest]
+            oldest.cancel()
+            self._count_refusal(LinkRefusal.DISPLACED)
+        self._strangers[scope] = None
+        try:
+            with scope:
+                return await self._read_first(stream)
+            if scope in self._strangers:
+                self._count_refusal(LinkRefusal.SILENT)
+            return None
+        finally:
+            self._strangers.pop(scope, None)
+
+    async def _read_first(self, stream):
+        if self._context is not None:
+            # The end of a frame is known without the closing message of TLS.
+            stream = trio.SSLStream(
+                stream, self._context, server_side=True, https_compatible=True
+            )
+            try:
+                await stream.do_handshake()
+            except trio.BrokenResourceError:
+                self._count_refusal(LinkRefusal.TLS_FAILED)
+                return None
+        reader = FrameReader(stream, _MAX_FIRST_BYTES)
+        data = await reader.read()
+        if data is None:
+            return None
+        envelope = self.node.codec.open(data)
+        reader.max_bytes = MAX_FRAME_BYTES
+        return stream, reader, envelope
+
+    async def _serve_messages(self, stream, reader, envelope):
+        link = Link(stream, self.node.codec)
+        async with trio.open_nursery() as nursery:
+            while True:
+                kind = str(envelope.which())
+                if kind not in control_handlers.names():
+                    raise MessageError(MessageRejection.UNEXPECTED.value)
+                handle = control_handlers.get(kind)
+                nursery.start_soon(handle, self, envelope, link)
+                data = await reader.read()
+                if data is None:
+                    break
+                envelope = self.node.codec.open(data)
+
+    def _count_refusal(self, reason, amount=1):
+        self.node.metrics.count("peer_links_refused", amount, reason=reason.value)
+
+
+@control_handlers.register("ping")
+async def _answer_ping(server, envelope, link):
+    reply = server.node.codec.new_envelope(server.node.configuration.version)
+    reply.init("ack").number = envelope.ping.number
+    await link.send(reply)
+
 
 @control_handlers.register("forward")
 async def _answer_forward(server, envelope, link):
@@ -181,7 +264,7 @@
 
 def make_control_server(node):
     """Return the server for the peers of a node."""
-    return ControlServer(node)
+    return ControlServer(node, make_control_server_context(node.settings))
 
 
 def _read_request(body, now, delay):
--- a/kumquatsaddle/lifecycle/node.py
+++ b/kumquatsaddle/lifecycle/node.py
@@ -27,7 +27,11 @@
 from kumquatsaddle.entry.control import make_control_server
 from kumquatsaddle.entry.operators import make_operators_server
 from kumquatsaddle.entry.proxy import make_proxy
-from kumquatsaddle.entry.tls import make_caller_context
+from kumquatsaddle.entry.tls import (
+    make_caller_context,
+    make_control_client_context,
+    make_control_server_context,
+)
 from kumquatsaddle.exceptions import ConflictError, SettingsError
 from kumquatsaddle.health.newcomers import Newcomers
 from kumquatsaddle.health.probes import watch_pools
@@ -115,6 +119,7 @@
         )
         self.pauses = make_pause_watch()
         self.links = None
+        self.control = None
         self.callers = None
         self._nursery = None
         self.transport = GossipTransport(self.table, self.gossip)
@@ -266,7 +271,8 @@
         self._nursery = nursery
         nursery.start_soon(self.pauses.run)
         listen = self.settings.get("listen", "control")
-        self.links = self.transport.links = make_links(self.codec, nursery)
+        context = make_control_client_context(self.settings)
+        self.links = self.transport.links = make_links(self.codec, nursery, context)
         await nursery.start(self.gossip.run, listen)
         self.control = make_control_server(self)
         await nursery.start(self.control.run, listen)
@@ -285,9 +291,11 @@
         nursery.start_soon(watch_pools, self.dispatcher.pools)
 
     def reload(self):
-        """Apply the changed settings file and certificate, or report what is wrong."""
+        """Apply the changed settings file and certificates, or report an error."""
         try:
             context = make_caller_context(self.settings)
+            server_context = make_control_server_context(self.settings)
+            client_context = make_control_client_context(self.settings)
             changed = reload_settings(self.settings)
         except SettingsError as error:
             self.metrics.count("reloads_refused")
@@ -295,6 +303,10 @@
             return
         if self.callers is not None:
             self.callers.use_context(context)
+        if self.control is not None:
+            self.control.use_context(server_context)
+        if self.links is not None:
+            self.links.use_context(client_context)
         self.metrics.set_limits(self.settings)
         self.dispatcher.max_answer = self.settings.get("limits", "answer_bytes")
         if ("log", "level") in changed:
--- a/kumquatsaddle/messages/frames.py
+++ b/kumquatsaddle/messages/frames.py
@@ -3,20 +3,28 @@
 from kumquatsaddle.exceptions import MessageError
 from kumquatsaddle.types import MessageRejection
 
-__all__ = ["FrameReader", "write_frame"]
+__all__ = ["MAX_FRAME_BYTES", "FrameReader", "write_frame"]
 
 _LENGTH_BYTES = 4
 # Largest frame in bytes; a whole configuration of 35,000 accounts is about 6 MB.
-_MAX_FRAME_BYTES = 16 << 20
+MAX_FRAME_BYTES = 16 << 20
 _READ_BYTES = 65536
 
 
 class FrameReader:
-    """Splits the bytes of a stream into frames."""
+    """Splits the bytes of a stream into frames.
 
-    def __init__(self, stream, max_bytes=_MAX_FRAME_BYTES):
+    Parameters
+    ----------
+    stream : trio.abc.ReceiveStream
+    max_bytes : int
+        Longest frame in bytes; may be set between two frames. Unread bytes are
+        bounded by twice this number.
+    """
+
+    def __init__(self, stream, max_bytes=MAX_FRAME_BYTES):
         self._stream = stream
-        self._max_bytes = max_bytes
+        self.max_bytes = max_bytes
         self._buffer = bytearray()
 
     async def read(self):
@@ -31,7 +39,7 @@
         if head is None:
             return None
         length = int.from_bytes(head, "big")
-        if length > self._max_bytes:
+        if length > self.max_bytes:
             reason = MessageRejection.TOO_LONG.value
             raise MessageError(f"{reason}: frame of {length} bytes")
         body = await self._take(length)
@@ -41,7 +49,7 @@
 
     async def _take(self, count):
         while len(self._buffer) < count:
-            data = await self._stream.receive_some(_READ_BYTES)
+            data = await self._stream.receive_some(min(_READ_BYTES, self.max_bytes))
             if not data:
                 if self._buffer:
                     raise MessageError(MessageRejection.TRUNCATED.value)
--- a/kumquatsaddle/testing/fleet.py
+++ b/kumquatsaddle/testing/fleet.py
@@ -67,10 +67,13 @@
     nursery : trio.Nursery
     folder : Path
         Holds the key of the internal messages.
+    sections : dict, optional
+        Settings of all instances: section to keys and texts.
     """
 
-    def __init__(self, nursery, folder):
+    def __init__(self, nursery, folder, sections=None):
         self._nursery = nursery
+        self._sections = sections or {}
         self._prefix = f"127.{os.getpid() % 250 + 2}.{next(_networks) % 250}"
         self._hosts = itertools.count(2)
         self._key_file = folder / "control.key"
@@ -118,7 +121,7 @@
             "membership": {"probe_interval": "0.1", "suspicion_timeout": "0.5"},
             "stop": {"notice": "0.2", "grace": "10"},
         }
-        for section, values in texts.items():
+        for section, values in (*self._sections.items(), *texts.items()):
             sections.setdefault(section, {}).update(values)
         self.platform.store.instances[name] = ListedInstance(
             name, "entry", "", f"{host}:8001", zone, "west"
@@ -223,7 +226,7 @@
 
 
 @asynccontextmanager
-async def open_fleet(nodes=2, backends=2, *, entities=None, work=0.001):
+async def open_fleet(nodes=2, backends=2, *, entities=None, work=0.001, sections=None):
     """Run a fleet: services ``lookup`` (idempotent) and ``order`` (not).
 
     Parameters
@@ -236,6 +239,8 @@
         Further kind, name and value of the configuration.
     work : float
         Mean time of a request at a backend server in seconds.
+    sections : dict, optional
+        Settings of all instances: section to keys and texts.
 
     Yields
     ------
@@ -244,7 +249,7 @@
     zones = "abcdefgh"
     with tempfile.TemporaryDirectory() as folder:
         async with trio.open_nursery() as nursery:
-            fleet = Fleet(nursery, Path(folder))
+            fleet = Fleet(nursery, Path(folder), sections)
             await fleet.configure(
                 [
                     ("service", "lookup", {"floor": 0.5}),
--- a/kumquatsaddle/types.py
+++ b/kumquatsaddle/types.py
@@ -32,6 +32,7 @@
     "InstanceState",
     "ImpairmentReason",
     "MessageRejection",
+    "LinkRefusal",
 ]
 
 InstanceId = NewType("InstanceId", str)
@@ -202,3 +203,14 @@
     UNEXPECTED = "unexpected"
     NOT_RECIPIENT = "not_recipient"
     OVERLOAD = "overload"
+
+
+class LinkRefusal(Enum):
+    """Why a connection to the control address was closed by this instance."""
+
+    TOO_MANY = "too_many"
+    TLS_FAILED = "tls_failed"
+    # No valid message came in time.
+    SILENT = "silent"
+    # Newer connections without a valid message took its place.
+    DISPLACED = "displaced"
