Name the setting when an instance cannot start

An error from starting arrived inside an exception group of trio, so an address in use or a bad certificate ended the command with a traceback and exit code 1.

Addresses that cannot be used become a SettingsError of their key, also from the servers that group their errors themselves.

--- /dev/null
+++ b/kumquatsaddle/commands/tests/node.feature
@@ -0,0 +1,10 @@
+Feature: kumquatsaddle-node
+
+  Scenario: An instance that cannot start
+    # Guards against a traceback in place of the setting that is wrong.
+    Then each setting that prevents the start is named in one line
+    And an unknown log level is named in one line
+
+  Scenario: An idle instance is stopped
+    # Guards against a planned stop that looks like a failure to a supervisor.
+    Then SIGTERM ends an idle instance with exit code 0
--- a/kumquatsaddle/lifecycle/node.py
+++ b/kumquatsaddle/lifecycle/node.py
@@ -270,17 +270,14 @@
         """Start the tasks; the instance serves once it has a configuration."""
         self._nursery = nursery
         nursery.start_soon(self.pauses.run)
-        listen = self.settings.get("listen", "control")
         context = make_control_client_context(self.settings)
         self.links = self.transport.links = make_links(self.codec, nursery, context)
-        await nursery.start(self.gossip.run, listen)
+        await self._start_server(nursery, self.gossip.run, "control")
         self.control = make_control_server(self)
-        await nursery.start(self.control.run, listen)
+        await self._start_server(nursery, self.control.run, "control")
         self.callers = make_caller_server(self, make_proxy(self))
-        await nursery.start(self.callers.run, self.settings.get("listen", "callers"))
-        await nursery.start(
-            self.operators.run, self.settings.get("listen", "operators")
-        )
+        await self._start_server(nursery, self.callers.run, "callers")
+        await self._start_server(nursery, self.operators.run, "operators")
         await self._load_first()
         self.gossip.set_own_state(InstanceState.ALIVE)
         await self.update_placement()
@@ -290,6 +287,23 @@
         nursery.start_soon(self.judgement.run)
         nursery.start_soon(watch_pools, self.dispatcher.pools)
 
+    async def _start_server(self, nursery, run, key):
+        """Start a server at an address of the settings.
+
+        Raises
+        ------
+        SettingsError
+            If the address cannot be used.
+        """
+        address = self.settings.get("listen", key)
+        try:
+            await nursery.start(run, address)
+        except* OSError as group:
+            # The servers of operators' pages wrap the error in groups of their own.
+            error = next(_list_errors(group))
+            problem = f"{address}: {error.strerror or error}"
+            raise SettingsError(problem, self.settings.file, "listen", key) from None
+
     def reload(self):
         """Apply the changed settings file and certificates, or report an error."""
         try:
@@ -348,6 +362,15 @@
     return node, application
 
 
+def _list_errors(error):
+    """Yield the errors of a group and of the groups in it."""
+    if not isinstance(error, BaseExceptionGroup):
+        yield error
+        return
+    for part in error.exceptions:
+        yield from _list_errors(part)
+
+
 def _describe_self(settings, incarnation):
     return Member(
         name=settings.get("instance", "id"),
