Pass the length of answers to HEAD on to callers

Content-Length was dropped as a header of the connection, and the length of the empty body, 0, was written in its place.

Answers to HEAD keep the length of the backend server; without a single valid one they have no Content-Length.

--- a/kumquatsaddle/dispatch/connections.py
+++ b/kumquatsaddle/dispatch/connections.py
@@ -183,7 +183,7 @@
             size += len(event.data)
             if size > max_body:
                 raise self._fail(RefusalReason.ANSWER_TOO_LARGE, size)
-        headers = [item for item in head.headers if item[0] not in HOP_HEADERS]
+        headers = _select_headers(method, head.headers)
         return RawAnswer(head.status_code, headers, b"".join(parts))
 
     async def _receive_head(self):
@@ -220,6 +220,17 @@
             self._parser.start_next_cycle()
 
 
+def _select_headers(method, headers):
+    """Return the headers of an answer that are for the caller.
+
+    The length in an answer to HEAD describes the answer to GET, not the connection.
+    """
+    dropped = HOP_HEADERS
+    if method == "HEAD" and b"transfer-encoding" not in {name for name, _ in headers}:
+        dropped = HOP_HEADERS - {b"content-length"}
+    return [item for item in headers if item[0] not in dropped]
+
+
 def _has_known_end(method, head):
     """Return whether the end of an answer can be told from a cut.
 
--- a/kumquatsaddle/entry/answers.py
+++ b/kumquatsaddle/entry/answers.py
@@ -33,6 +33,8 @@
 _HEADERS = re.compile(
     rb"(?:[!#$%&'*+\-.^_`|~0-9A-Za-z]++:[\t\x20-\x7e\x80-\xff]*+\r\n)*+"
 )
+# Longer numbers are no lengths; Python refuses to convert very long ones.
+_LENGTH = re.compile(rb"[0-9]{1,18}")
 # Responses that never have a body (RFC 9110, section 6.4.1); 205 has an empty one.
 _BODILESS = frozenset({204, 304})
 _EMPTY = 205
@@ -84,7 +86,11 @@
         body = b""
     else:
         body = b"" if answer.status == _EMPTY else body
-        parts.append(b"Content-Length: %d\r\n" % len(body))
+        length = len(body)
+        if is_head and not body:
+            length = _find_length(answer.headers)
+        if length is not None:
+            parts.append(b"Content-Length: %d\r\n" % length)
     parts.append(b"%b: %b\r\n" % (_OUTCOME_HEADER, answer.outcome.value.encode()))
     if answer.reason is not None:
         parts.append(b"%b: %b\r\n" % (_REASON_HEADER, answer.reason.value.encode()))
@@ -99,6 +105,19 @@
     return b"".join((line, headers, b"\r\n", b"" if is_head else body))
 
 
+def _find_length(headers):
+    """Return the length that a backend server gave to a HEAD request, or None.
+
+    Without a valid one the length of the answer to GET is not known, and an answer
+    to HEAD may leave it out (RFC 9110, section 8.6).
+    """
+    values = {value for name, value in headers if name.lower() == b"content-length"}
+    if len(values) != 1:
+        return None
+    (value,) = values
+    return int(value) if _LENGTH.fullmatch(value) else None
+
+
 def _describe(answer):
     if answer.reason is None:
         return b""
