Move what is not composition out of the node module

The placement watch, the keys and the description of an instance, its share of the claims and the start of servers are modules of lifecycle; Node keeps its public names. Behaviour is unchanged.

--- a/kumquatsaddle/lifecycle/node.py
+++ b/kumquatsaddle/lifecycle/node.py
@@ -1,20 +1,14 @@
 """An entry instance: the parts of the fleet composed into one application.
 
-`make_node` builds the parts and adds their hooks to an `Application`. The node owns
-the placement and the list of backend servers; every other state belongs to its part.
+`make_node` builds the parts and adds their hooks to an `Application`. All state
+belongs to the parts.
 """
 
-import secrets
-import time
 from dataclasses import asdict
 
 import trio
 
-from kumquatsaddle.addresses.answers import order_homes
-from kumquatsaddle.addresses.groups import Backend
-from kumquatsaddle.addresses.homes import HomeCandidate
-from kumquatsaddle.addresses.placement import make_placement
-from kumquatsaddle.admission.limits import TokenBucket, make_limits
+from kumquatsaddle.admission.limits import make_limits
 from kumquatsaddle.clocks import make_steady_clock
 from kumquatsaddle.configuration.changes import change_key, seed_changes
 from kumquatsaddle.configuration.distribution import make_distribution
@@ -33,41 +27,32 @@
     make_control_server_context,
 )
 from kumquatsaddle.exceptions import ConflictError, SettingsError
-from kumquatsaddle.health.newcomers import Newcomers
 from kumquatsaddle.health.probes import watch_pools
 from kumquatsaddle.lifecycle.application import make_application
+from kumquatsaddle.lifecycle.claims import make_claim_bucket
 from kumquatsaddle.lifecycle.digests import exchange_digests, has_reachable_backend
+from kumquatsaddle.lifecycle.identity import describe_self, read_keys
 from kumquatsaddle.lifecycle.pauses import make_pause_watch
+from kumquatsaddle.lifecycle.placement import make_placement_watch
+from kumquatsaddle.lifecycle.servers import start_server
 from kumquatsaddle.logs import log_event, set_log_level
 from kumquatsaddle.membership.exchange import fill_hello, read_members
 from kumquatsaddle.membership.gossip import make_gossip
 from kumquatsaddle.membership.judgement import make_judgement, select_serving
-from kumquatsaddle.membership.members import Member, make_table
+from kumquatsaddle.membership.members import make_table
 from kumquatsaddle.messages.codec import make_codec
 from kumquatsaddle.metrics import make_metrics
 from kumquatsaddle.operations.claims import make_claims
 from kumquatsaddle.operations.issuer import make_incarnation, make_issuer
 from kumquatsaddle.operations.ledger import make_ledger
 from kumquatsaddle.platform.interface import make_platform
-from kumquatsaddle.settings.files import read_secret
 from kumquatsaddle.settings.reload import reload_settings
-from kumquatsaddle.types import BackendId, InstanceState
+from kumquatsaddle.types import InstanceState
 
 __all__ = ["Node", "make_node"]
 
-# Shortest time in seconds between two derivations of the placement.
-_PLACEMENT_INTERVAL = 0.2
-# States in which an instance still answers requests for the groups it is home of.
-_HOLDING = (InstanceState.ALIVE, InstanceState.IMPAIRED, InstanceState.LEAVING)
-# Orders of homes that are kept, one for each service and account in use.
-_MAX_HOME_ORDERS = 8192
 # Time in seconds for a member table from a peer.
 _TABLE_TIMEOUT = 5.0
-_RANDOM_KEY_BYTES = 32
-# Claims a second over the whole fleet; each is two writes to a table that takes
-# several hundred a second. Every instance has an equal share and a burst.
-_CLAIM_RATE = 100.0
-_CLAIM_BURST = 5.0
 
 
 class Node:
@@ -91,14 +76,14 @@
         self.clock = make_steady_clock()
         self.ledger = make_ledger(self.clock)
         self.claims = make_claims(self.platform, self.issuer, self.clock)
-        self.claim_bucket = TokenBucket(_CLAIM_RATE, _CLAIM_BURST, time.monotonic())
+        self.claim_bucket = make_claim_bucket()
         self.limits = make_limits()
         self.dispatcher = make_dispatcher(
             self.metrics, settings.get("limits", "answer_bytes")
         )
-        self.table = make_table(_describe_self(settings, self.incarnation))
+        self.table = make_table(describe_self(settings, self.incarnation))
         self.codec = make_codec(
-            self.name, self.incarnation, _read_keys(settings), self.clock
+            self.name, self.incarnation, read_keys(settings), self.clock
         )
         self.gossip = make_gossip(
             self.table,
@@ -122,6 +107,7 @@
         self.control = None
         self.callers = None
         self._nursery = None
+        self._placements = make_placement_watch(self)
         self.transport = GossipTransport(self.table, self.gossip)
         self.distribution = make_distribution(
             self.configuration,
@@ -129,21 +115,25 @@
             self.transport,
             self.metrics,
             lambda: settings.get("platform", "poll_interval"),
-            self._take_list,
+            self._placements.take_list,
         )
         self.operators = make_operators_server(self)
-        self.backends = []
-        self.newcomers = Newcomers()
-        self.placement = make_placement((), (), ())
-        self._placement_key = None
-        self._held_groups = {}
-        self._home_orders = {}
 
     @property
     def name(self):
         """The instance id."""
         return self.settings.get("instance", "id")
 
+    @property
+    def placement(self):
+        """The homes of all groups, as this instance derives them."""
+        return self._placements.placement
+
+    @property
+    def backends(self):
+        """The listed backend servers with the drains of operators."""
+        return self._placements.backends
+
     def serving_members(self):
         """Return the members that are answered to callers, this instance included.
 
@@ -154,76 +144,16 @@
 
     def order_homes(self, service, account):
         """Return the serving homes of a service in the order of an account."""
-        key = (service, account)
-        order = self._home_orders.get(key)
-        if order is None:
-            order = order_homes(self.placement.homes_of(service), service, account)
-            if len(self._home_orders) >= _MAX_HOME_ORDERS:
-                self._home_orders.clear()
-            self._home_orders[key] = order
-        # The placement follows a change of the members with a short delay.
-        return [name for name in order if self._may_serve(name)]
-
-    def _may_serve(self, name):
-        member = self.table.members.get(name)
-        return member is not None and member.state in _HOLDING
+        return self._placements.order_homes(service, account)
 
     async def update_placement(self):
         """Derive the placement again if its inputs have changed."""
-        key = (
-            self.table.generation,
-            self.configuration.version,
-            tuple(self.backends),
-        )
-        if key == self._placement_key:
-            return
-        self._placement_key = key
-        self.claim_bucket.rate = _CLAIM_RATE / len(self.table.members)
-        candidates = [
-            HomeCandidate(member.name, member.zone, member.region)
-            for member in self.serving_members()
-        ]
-        services = self.configuration.services
-        self.placement = make_placement(services.values(), self.backends, candidates)
-        self._home_orders.clear()
-        groups = {group.name: group for group in self.placement.groups_of(self.name)}
-        if self.table.own.state is InstanceState.LEAVING:
-            # Requests in flight still need the servers that this instance was home of.
-            groups = self._held_groups | groups
-        self._held_groups = groups
-        await self.dispatcher.update_groups(
-            services,
-            groups.values(),
-            self.newcomers.current(trio.current_time()),
-        )
+        await self._placements.update()
 
     def _note_version(self, member, version):
         self.judgement.note_version(version)
         self.distribution.on_version(member, version)
 
-    def _take_list(self):
-        """Take over the list of backend servers and the drains of operators."""
-        if self.distribution.backends is None:
-            # There is no list yet, which is not the same as an empty one.
-            return
-        drains = self.configuration.drains
-        self.backends = [
-            Backend(
-                BackendId(entry.name),
-                entry.service,
-                entry.address,
-                entry.zone,
-                entry.region,
-                entry.leaving or entry.name in drains,
-            )
-            for entry in self.distribution.backends
-        ]
-        names = [backend.name for backend in self.backends]
-        self.newcomers.update(names, trio.current_time())
-        self.gossip.seeds |= {
-            entry.address for entry in self.distribution.listed if entry.role == "entry"
-        }
-
     def start_background(self, function, *arguments):
         """Run an async function as a task of the node."""
         self._nursery.start_soon(function, *arguments)
@@ -261,49 +191,27 @@
         }
         await self.distribution.load_first()
 
-    async def _watch_placement(self):
-        while True:
-            await trio.sleep(_PLACEMENT_INTERVAL)
-            await self.update_placement()
-
     async def start(self, nursery):
         """Start the tasks; the instance serves once it has a configuration."""
         self._nursery = nursery
         nursery.start_soon(self.pauses.run)
         context = make_control_client_context(self.settings)
         self.links = self.transport.links = make_links(self.codec, nursery, context)
-        await self._start_server(nursery, self.gossip.run, "control")
+        await start_server(nursery, self.gossip.run, self.settings, "control")
         self.control = make_control_server(self)
-        await self._start_server(nursery, self.control.run, "control")
+        await start_server(nursery, self.control.run, self.settings, "control")
         self.callers = make_caller_server(self, make_proxy(self))
-        await self._start_server(nursery, self.callers.run, "callers")
-        await self._start_server(nursery, self.operators.run, "operators")
+        await start_server(nursery, self.callers.run, self.settings, "callers")
+        await start_server(nursery, self.operators.run, self.settings, "operators")
         await self._load_first()
         self.gossip.set_own_state(InstanceState.ALIVE)
         await self.update_placement()
         nursery.start_soon(self.distribution.run)
-        nursery.start_soon(self._watch_placement)
+        nursery.start_soon(self._placements.run)
         nursery.start_soon(exchange_digests, self)
         nursery.start_soon(self.judgement.run)
         nursery.start_soon(watch_pools, self.dispatcher.pools)
 
-    async def _start_server(self, nursery, run, key):
-        """Start a server at an address of the settings.
-
-        Raises
-        ------
-        SettingsError
-            If the address cannot be used.
-        """
-        address = self.settings.get("listen", key)
-        try:
-            await nursery.start(run, address)
-        except* OSError as group:
-            # The servers of operators' pages wrap the error in groups of their own.
-            error = next(_list_errors(group))
-            problem = f"{address}: {error.strerror or error}"
-            raise SettingsError(problem, self.settings.file, "listen", key) from None
-
     def reload(self):
         """Apply the changed settings file and certificates, or report an error."""
         try:
@@ -360,36 +268,3 @@
     application.on_stop(node.stop)
     application.on_reload(node.reload)
     return node, application
-
-
-def _list_errors(error):
-    """Yield the errors of a group and of the groups in it."""
-    if not isinstance(error, BaseExceptionGroup):
-        yield error
-        return
-    for part in error.exceptions:
-        yield from _list_errors(part)
-
-
-def _describe_self(settings, incarnation):
-    return Member(
-        name=settings.get("instance", "id"),
-        incarnation=incarnation,
-        started_at=time.time(),
-        revision=1,
-        state=InstanceState.JOINING,
-        zone=settings.get("instance", "zone"),
-        region=settings.get("instance", "region"),
-        control=str(settings.get("listen", "control")),
-        callers=str(settings.get("listen", "callers")),
-    )
-
-
-def _read_keys(settings):
-    files = settings.get("secrets", "control_key_files")
-    if not files:
-        # Without a key no other instance can talk to this one.
-        return [secrets.token_bytes(_RANDOM_KEY_BYTES)]
-    return [
-        read_secret(settings, "secrets", "control_key_files", file) for file in files
-    ]
