--- a/kumquatsaddle/lifecycle/application.py
+++ b/kumquatsaddle/lifecycle/application.py
@@ -50,21 +50,38 @@
         self._stop.set()
 
     async def run(self, *, handle_signals=False):
-        """Run the hooks and the tasks until `stop` is called."""
+        """Run the hooks and the tasks until `stop` is called.
+
+        A stop during the start hooks ends them; the stop hooks then do not run,
+        because the application has not begun to work.
+        """
         async with trio.open_nursery() as nursery:
             if handle_signals:
                 await nursery.start(self._watch_signals)
-            for hook in self._start_hooks:
-                await hook(nursery)
-            log_event("application_started", name=self.name)
-            self.started.set()
-            await self._stop.wait()
-            log_event("application_stopping", name=self.name)
-            for hook in reversed(self._stop_hooks):
-                await hook()
+            if await self._start(nursery):
+                log_event("application_started", name=self.name)
+                self.started.set()
+                await self._stop.wait()
+                log_event("application_stopping", name=self.name)
+                for hook in reversed(self._stop_hooks):
+                    await hook()
             nursery.cancel_scope.cancel()
         log_event("application_stopped", name=self.name)
 
+    async def _start(self, nursery):
+        """Run the start hooks; return False if they were stopped."""
+        with trio.CancelScope() as scope:
+            async with trio.open_nursery() as watch:
+                watch.start_soon(self._cancel_on_stop, scope)
+                for hook in self._start_hooks:
+                    await hook(nursery)
+                watch.cancel_scope.cancel()
+        return not scope.cancelled_caught
+
+    async def _cancel_on_stop(self, scope):
+        await self._stop.wait()
+        scope.cancel()
+
     async def _watch_signals(self, task_status=trio.TASK_STATUS_IGNORED):
         signals = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
         with trio.open_signal_receiver(*signals) as received:
