--- a/kumquatsaddle/configuration/distribution.py
+++ b/kumquatsaddle/configuration/distribution.py
@@ -184,6 +184,9 @@
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._read_platform, platform_read)
                 nursery.start_soon(self._ask_peers, peer_read)
+            if platform_read and not peer_read:
+                # The list may have named the first peers, and the table may lag.
+                await self._ask_peers(peer_read)
             caught_up = self.version >= self._highest_heard
             if platform_read or (peer_read and caught_up):
                 if self.backends is not None:
--- a/kumquatsaddle/testing/fleet.py
+++ b/kumquatsaddle/testing/fleet.py
@@ -75,6 +75,9 @@
         self._hosts = itertools.count(2)
         self._key_file = folder / "control.key"
         self._key_file.write_text(secrets.token_hex(32))
+        self.operator_token = secrets.token_hex(16)
+        self._token_file = folder / "operator.token"
+        self._token_file.write_text(self.operator_token)
         self.platform = FaultyPlatform()
         self.nodes = []
         self.backends = {}
@@ -114,7 +117,10 @@
                 "operators": f"{host}:8002",
             },
             "platform": {"kind": "memory", "poll_interval": "0.5"},
-            "secrets": {"control_key_files": str(self._key_file)},
+            "secrets": {
+                "control_key_files": str(self._key_file),
+                "operator_token_file": str(self._token_file),
+            },
             "membership": {"probe_interval": "0.1", "suspicion_timeout": "0.5"},
             "stop": {"notice": "0.2", "grace": "10"},
         }
@@ -176,11 +182,11 @@
             if not entry.ended.is_set() and not entry.leaving
         ]
 
-    async def replace_node(self, entry):
+    async def replace_node(self, entry, **texts):
         """Start a new instance with the name and zone of one that ended."""
         self.nodes.remove(entry)
-        settings = entry.node.settings
-        new = await self.add_node(entry.node.name, settings.get("instance", "zone"))
+        zone = entry.node.settings.get("instance", "zone")
+        new = await self.add_node(entry.node.name, zone, **texts)
         new.platform.down = entry.platform.down
         return new
 
--- a/kumquatsaddle/testing/platforms.py
+++ b/kumquatsaddle/testing/platforms.py
@@ -1,11 +1,13 @@
 """A platform in memory with the faults of a real one."""
 
+import time
+
 import trio
 
 from kumquatsaddle.exceptions import PlatformUnavailableError
 from kumquatsaddle.platform.memory import MemoryPlatform
 
-__all__ = ["FaultyPlatform"]
+__all__ = ["FaultyPlatform", "copy_store"]
 
 
 class FaultyPlatform:
@@ -27,11 +29,16 @@
         # Writes that take effect only after the caller has been told of a failure.
         self.late_effects = []
         self.delay_effects = 0
+        # Whether the platform goes away right after it has lost a reply.
+        self.down_after_loss = False
+        # An earlier state of the store that reads show; None: the current one.
+        self.stale = None
+        self.stale_reads = 0
 
     async def read_row(self, key):
         """Return the row at `key`, or None."""
         await self._enter()
-        return await self.store.read_row(key)
+        return await self._read_store().read_row(key)
 
     async def put_row(self, key, value, expected_version):
         """Write a row, subject to the faults."""
@@ -45,12 +52,12 @@
     async def list_rows(self, prefix, after="", limit=1000):
         """Return rows in the order of their keys."""
         await self._enter()
-        return await self.store.list_rows(prefix, after, limit)
+        return await self._read_store().list_rows(prefix, after, limit)
 
     async def read_object(self, key):
         """Return an object's bytes, or None."""
         await self._enter()
-        return await self.store.read_object(key)
+        return await self._read_store().read_object(key)
 
     async def write_object(self, key, data):
         """Write an object, subject to the faults."""
@@ -59,7 +66,7 @@
     async def list_instances(self):
         """Return the instances."""
         await self._enter()
-        return await self.store.list_instances()
+        return await self._read_store().list_instances()
 
     async def apply_late_effects(self):
         """Let the delayed writes take effect now, as far as they still can."""
@@ -70,6 +77,10 @@
             except Exception:  # noqa: BLE001 - a late write may find a conflict
                 continue
 
+    def _read_store(self):
+        self.stale_reads += self.stale is not None
+        return self.stale or self.store
+
     async def _enter(self):
         await trio.sleep(self.delay)
         if self.down:
@@ -87,5 +98,18 @@
         result = await write(*arguments)
         if self.lose_replies:
             self.lose_replies -= 1
+            self.down = self.down or self.down_after_loss
             raise PlatformUnavailableError("reply lost")
         return result
+
+
+def copy_store(store):
+    """Return a copy of a `MemoryPlatform` as it is now, for reads that lag.
+
+    Its list of instances keeps the time of the copy.
+    """
+    copied_at = time.time()
+    copy = MemoryPlatform(lambda: copied_at)
+    copy.rows, copy.objects = dict(store.rows), dict(store.objects)
+    copy.instances = dict(store.instances)
+    return copy
