--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -38,15 +38,16 @@
 [platform]
 kind = http
 url = http://{platform}
-poll_interval = 1 s
+poll_interval = {poll_interval}
 
 [secrets]
 control_key_files = {key_file}
 operator_token_file = {token_file}
 
 [membership]
-probe_interval = 0.2 s
-suspicion_timeout = 1 s
+probe_interval = {probe_interval}
+suspicion_timeout = {suspicion_timeout}
+seeds = {seeds}
 
 [stop]
 notice = 0.5 s
@@ -86,6 +87,12 @@
         self.key_file = self._write("control.key", secrets.token_hex(32))
         self.token_file = self._write("operator.token", secrets.token_hex(16))
         self.extra_settings = ""
+        self.seeds = ""
+        self.intervals = {
+            "poll_interval": "1 s",
+            "probe_interval": "0.2 s",
+            "suspicion_timeout": "1 s",
+        }
 
     async def start_platform(self):
         """Start the stand-in of the platform."""
@@ -142,6 +149,8 @@
             key_file=self.key_file,
             token_file=self.token_file,
             extra=self.extra_settings,
+            seeds=self.seeds,
+            **self.intervals,
             **_PORTS,
         )
         settings = self._write(f"{name}.ini", text)
