Hold the texts that entries of the list share once in memory

The list of 4,300 servers held role, service, zone and region of every entry as texts of its own.

These four are interned when an entry is parsed.

--- a/kumquatsaddle/platform/interface.py
+++ b/kumquatsaddle/platform/interface.py
@@ -1,5 +1,6 @@
 """The narrow interface to the platform and the registry of its implementations."""
 
+import sys
 from dataclasses import dataclass, fields
 from typing import Protocol
 
@@ -20,6 +21,9 @@
 
 platforms = Registry("platform")
 
+# Fields of an entry whose texts many entries share.
+_REPEATED = ("role", "service", "zone", "region")
+
 
 @dataclass(frozen=True, slots=True)
 class Row:
@@ -165,7 +169,7 @@
 
 
 def _parse_instance(entry):
-    instance = ListedInstance(**entry)
+    instance = ListedInstance(**{**entry, **_intern_repeated(entry)})
     for field in fields(ListedInstance):
         kind = bool if field.name == "leaving" else str
         if not isinstance(getattr(instance, field.name), kind):
@@ -174,3 +178,11 @@
         raise ValueError("name is empty")
     parse_address(instance.address)
     return instance
+
+
+def _intern_repeated(entry):
+    """Return the texts that many entries share, each held once in memory."""
+    values = {key: entry.get(key) for key in _REPEATED}
+    return {
+        key: sys.intern(value) for key, value in values.items() if type(value) is str
+    }
