--- a/kumquatsaddle/platform/http.py
+++ b/kumquatsaddle/platform/http.py
@@ -29,10 +29,12 @@
 
 __all__ = ["HttpPlatform", "make_http_platform"]
 
-# Longest list of instances in bytes, decompressed.
-_LONGEST_LIST = 64 << 20
 # Connections kept to the platform by one instance.
 _MAX_CONNECTIONS = 4
+# Longest list of instances in bytes, about 50 times that of the target size.
+_MAX_LIST_BYTES = 32 << 20
+# Format of zlib for data with the header of gzip.
+_GZIP = zlib.MAX_WBITS | 16
 
 
 class HttpPlatform:
@@ -49,10 +51,10 @@
     def __init__(self, url, timeout):
         self._url = url.rstrip("/")
         self._timeout = timeout
-        # The list as it was read last; at the target size it is 1 MB, and it is asked
-        # for far more often than it changes.
-        self._list_tag = ""
+        # The latest list of instances and its entity tag, as the platform sent it. At
+        # the target size the list has 0.6 MB and few reads find a change.
         self._listed = []
+        self._listed_tag = None
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=_MAX_CONNECTIONS, ssl_context=ssl.create_default_context()
         )
@@ -104,15 +106,15 @@
         """Return the instances known to the platform."""
         asked_at = time.time()
         headers = [("Accept-Encoding", "gzip")]
-        if self._list_tag:
-            headers.append(("If-None-Match", f'"{self._list_tag}"'))
-        response = await self._call("GET", "/instances", headers=headers)
+        if self._listed_tag is not None:
+            headers.append(("If-None-Match", self._listed_tag))
+        response = await self._call("GET", "/instances", None, headers)
         if response.status != 304:
             try:
-                self._listed = parse_instances(json.loads(_read_content(response)))
-            except (ValueError, RecursionError, zlib.error) as error:
+                self._listed = parse_instances(_parse_json(_decode(response)))
+            except ValueError as error:
                 raise PlatformUnavailableError(f"/instances: {error}") from None
-            self._list_tag = _find_header(response, b"etag").strip('"')
+            self._listed_tag = _find_header(response, b"etag")
         return InstanceList(self._listed, _read_date(response, asked_at))
 
     async def close(self):
@@ -129,23 +131,50 @@
             raise PlatformUnavailableError(f"{method} {path}: no reply") from None
         except (httpcore.ProtocolError, httpcore.UnsupportedProtocol) as error:
             raise PlatformUnavailableError(f"{method} {path}: {error}") from None
-        if response.status >= 300 and response.status not in (304, 404, 412):
+        asked = method == "GET" and any(name == "If-None-Match" for name, _ in headers)
+        known = (304, 404, 412) if asked else (404, 412)
+        if response.status >= 300 and response.status not in known:
             raise PlatformUnavailableError(f"{method} {path}: {response.status}")
         return response
 
     @staticmethod
     def _json(response):
-        try:
-            return json.loads(response.content)
-        except (ValueError, RecursionError):
-            raise PlatformUnavailableError("the reply is not JSON") from None
+        return _parse_json(response.content)
 
     @staticmethod
     def _tag(response):
-        tag = _find_header(response, b"etag").strip('"')
-        if not tag:
+        tag = _find_header(response, b"etag")
+        if tag is None:
             raise PlatformUnavailableError("the reply has no ETag")
-        return tag
+        return tag.strip('"')
+
+
+def _find_header(response, wanted):
+    for name, value in response.headers:
+        if name.lower() == wanted:
+            return value.decode("latin-1")
+    return None
+
+
+def _decode(response):
+    """Return the content of a reply without its compression."""
+    if _find_header(response, b"content-encoding") != "gzip":
+        return response.content
+    unpacker = zlib.decompressobj(wbits=_GZIP)
+    try:
+        content = unpacker.decompress(response.content, _MAX_LIST_BYTES)
+    except zlib.error as error:
+        raise PlatformUnavailableError(f"the reply is damaged: {error}") from None
+    if not unpacker.eof:
+        raise PlatformUnavailableError("the reply is too long or incomplete")
+    return content
+
+
+def _parse_json(content):
+    try:
+        return json.loads(content)
+    except (ValueError, RecursionError):
+        raise PlatformUnavailableError("the reply is not JSON") from None
 
 
 def _make_row(key, value, version):
@@ -165,24 +194,6 @@
     return default
 
 
-def _find_header(response, name):
-    for key, value in response.headers:
-        if key.lower() == name:
-            return value.decode("latin-1")
-    return ""
-
-
-def _read_content(response):
-    """Return the body of a response, decompressed up to a limit."""
-    if _find_header(response, b"content-encoding") != "gzip":
-        return response.content
-    decoder = zlib.decompressobj(16 + zlib.MAX_WBITS)
-    content = decoder.decompress(response.content, _LONGEST_LIST)
-    if not decoder.eof:
-        raise ValueError("the list is truncated or too long")
-    return content
-
-
 def _condition(expected_version):
     if expected_version is None:
         return [("If-None-Match", "*")]
