Answer a key from the table once its operation has left the ledger

Cause: found by reading: a repeat of a key after 660 s at its own issuer was answered UNKNOWN, and that answer then overwrote the recorded outcome in the table.

Change: the recorded outcome is returned, and an outcome is recorded once.

Result: the new scenario of tests/at_most_once.feature passes; the order ran once.

--- a/kumquatsaddle/entry/claiming.py
+++ b/kumquatsaddle/entry/claiming.py
@@ -20,6 +20,8 @@
 _LONGEST_KEY = 255
 # Times that a claim is bound to a new operation while one request is answered.
 _MAX_RENEWALS = 2
+# Reasons for which the table may know more than the instances.
+_NOT_ON_RECORD = (RefusalReason.ISSUER_GONE, RefusalReason.OPERATION_EXPIRED)
 
 
 async def answer_claimed(node, router, request):
@@ -79,18 +81,21 @@
     request.operation = claim.operation
     if claim.incarnation == node.incarnation:
         answer = await run_operation(node, router, request)
-        node.start_background(node.claims.finish, claim, answer)
+        if answer.reason in _NOT_ON_RECORD:
+            return _read_record(claim)
+        if claim.outcome is None:
+            node.start_background(node.claims.finish, claim, answer)
         return answer
     member = node.table.find_incarnation(claim.incarnation)
     if member is not None and member.state is not InstanceState.DEAD:
         answer = await router.ask_issuer(request, claim.incarnation)
-        if answer.reason is not RefusalReason.ISSUER_GONE:
+        if answer.reason not in _NOT_ON_RECORD:
             return answer
     return _read_record(claim)
 
 
 def _read_record(claim):
-    """Return what the table tells of an operation whose issuer is gone."""
+    """Return what the table tells of an operation that no issuer has on record."""
     if claim.outcome is Outcome.DONE:
         reason = RefusalReason.ANSWER_FORGOTTEN
         return Answer(Outcome.DONE, claim.status, (), b"", reason, claim.operation)
--- a/tests/at_most_once.feature
+++ b/tests/at_most_once.feature
@@ -63,3 +63,10 @@
     When an instance claims a key and crashes before its order is sent
     Then the other instances answer "unknown" to a repeat of the key
     And 0 orders ran
+
+  Scenario: A key is repeated after its operation has left the ledger
+    # Guards against a second run, and against losing the outcome that the table keeps.
+    Given a fleet of 3 instances
+    When an order with a key ran and 700 seconds pass at the ledgers
+    Then a repeat of the key is "done" at each instance
+    And 1 order ran
--- a/tests/steps/at_most_once.py
+++ b/tests/steps/at_most_once.py
@@ -1,3 +1,4 @@
+import trio
 from behave import given, then, when
 
 from kumquatsaddle.entry import routing
@@ -185,3 +186,22 @@
     for entry in context.fleet.alive():
         raw = send_order(context, entry, KEY, "k")
         assert read_outcome(raw) == "unknown"
+
+
+@when("an order with a key ran and {seconds:d} seconds pass at the ledgers")
+def pass_time(context, seconds):
+    raw = send_order(context, context.fleet.nodes[0], KEY, "k")
+    assert read_outcome(raw) == "done"
+    # The outcome is written to the table in the background.
+    context.loop.run(trio.sleep, 0.2)
+    for entry in context.fleet.nodes:
+        ledger, now = entry.node.ledger, entry.node.clock
+        ledger._clock = lambda now=now: now() + seconds
+
+
+@then('a repeat of the key is "{outcome}" at each instance')
+def check_repeated_key(context, outcome):
+    for entry in context.fleet.nodes:
+        raw = send_order(context, entry, KEY, "k")
+        assert read_outcome(raw) == outcome, raw.body
+        assert raw.get_header(b"kumquatsaddle-reason") == b"answer_forgotten"
