Take the path of a target without parsing a URL

Cause: urlsplit took 25 us of a request under the profiler; heads with anything but a path and a query are refused before.

Change: a partition at the question mark.

--- a/kumquatsaddle/entry/proxy.py
+++ b/kumquatsaddle/entry/proxy.py
@@ -8,8 +8,6 @@
 other instance that has to refuse such a request answers UNKNOWN.
 """
 
-from urllib.parse import urlsplit
-
 import trio
 
 from kumquatsaddle.dispatch.connections import HOP_HEADERS
@@ -95,7 +93,7 @@
             return await self._node.dispatcher.dispatch(request)
         try:
             route = self._node.configuration.resolve_route(
-                request.account, request.method, urlsplit(request.target).path
+                request.account, request.method, _path_of(request.target)
             )
         except RefusedError as error:
             return self._refuse_resolved(request, error.reason)
@@ -155,7 +153,7 @@
         except ValueError as error:
             raise RefusedError(RefusalReason.BAD_REQUEST, str(error)) from None
         route = self._node.configuration.resolve_route(
-            account, caller_request.method, urlsplit(caller_request.target).path
+            account, caller_request.method, _path_of(caller_request.target)
         )
         deadline = route.deadline
         if timeout:
@@ -229,6 +227,11 @@
     return Proxy(node)
 
 
+def _path_of(target):
+    # Heads with anything but a path and a query were refused before.
+    return target.partition("?")[0]
+
+
 def _limit_share(own, homes):
     if not homes or homes[0] == own:
         return 1.0
