--- a/docs/tests/pages.py
+++ b/docs/tests/pages.py
@@ -18,9 +18,7 @@
     "python -m tools.run_tests docs/tests": "runs these tests",
 }
 # What pages name although it does not exist, with the reason.
-MISSING = {
-    "docs/CAPACITY.md": "announced by docs/design.md",
-}
+MISSING = {}
 
 _FENCE = re.compile(
     r"(?:^<!-- file: (?P<file>\S+) -->\n)?"
