Move the probes to dispatch and split the composition of a node

Cause: health and dispatch imported each other, because the probes open connections.

Change: dispatch/probes.py; Node builds its membership in a method of its own.

--- a/kumquatsaddle/health/tests/steps/draining.py
+++ b/kumquatsaddle/health/tests/steps/draining.py
@@ -7,8 +7,8 @@
 from kumquatsaddle.addresses.groups import Backend, Group
 from kumquatsaddle.dispatch.connections import RawAnswer
 from kumquatsaddle.dispatch.pools import make_pool
+from kumquatsaddle.dispatch.probes import is_draining, probe_server, watch_pools
 from kumquatsaddle.health.newcomers import Newcomers
-from kumquatsaddle.health.probes import is_draining, probe_server, watch_pools
 from kumquatsaddle.testing.pools import SERVICE, read_count
 from kumquatsaddle.types import BackendState
 from standins.http import reply_json, serve_http
--- a/kumquatsaddle/lifecycle/node.py
+++ b/kumquatsaddle/lifecycle/node.py
@@ -17,6 +17,7 @@
 from kumquatsaddle.dispatch.digests import make_digests
 from kumquatsaddle.dispatch.dispatcher import make_dispatcher
 from kumquatsaddle.dispatch.peers import make_links
+from kumquatsaddle.dispatch.probes import watch_pools
 from kumquatsaddle.entry.callers import make_caller_server
 from kumquatsaddle.entry.control import make_control_server
 from kumquatsaddle.entry.operators import make_operators_server
@@ -27,7 +28,6 @@
     make_control_server_context,
 )
 from kumquatsaddle.exceptions import ConflictError, SettingsError
-from kumquatsaddle.health.probes import watch_pools
 from kumquatsaddle.lifecycle.application import make_application
 from kumquatsaddle.lifecycle.claims import make_claim_bucket
 from kumquatsaddle.lifecycle.digests import exchange_digests, has_reachable_backend
@@ -81,15 +81,34 @@
         self.dispatcher = make_dispatcher(
             self.metrics, settings.get("limits", "answer_bytes")
         )
-        self.table = make_table(describe_self(settings, self.incarnation))
+        self._make_membership()
+        self.pauses = make_pause_watch()
+        self.links = None
+        self.control = None
+        self.callers = None
+        self._nursery = None
+        self._placements = make_placement_watch(self)
+        self.transport = GossipTransport(self.table, self.gossip)
+        self.distribution = make_distribution(
+            self.configuration,
+            self.platform,
+            self.transport,
+            self.metrics,
+            lambda: settings.get("platform", "poll_interval"),
+            self._placements.take_list,
+        )
+        self.operators = make_operators_server(self)
+
+    def _make_membership(self):
+        self.table = make_table(describe_self(self.settings, self.incarnation))
         self.codec = make_codec(
-            self.name, self.incarnation, read_keys(settings), self.clock
+            self.name, self.incarnation, read_keys(self.settings), self.clock
         )
         self.gossip = make_gossip(
             self.table,
             self.codec,
             self.metrics,
-            settings,
+            self.settings,
             lambda: self.configuration.version,
             self._note_version,
         )
@@ -102,22 +121,6 @@
             lambda: self.configuration.version,
             lambda: has_reachable_backend(self.dispatcher.pools),
         )
-        self.pauses = make_pause_watch()
-        self.links = None
-        self.control = None
-        self.callers = None
-        self._nursery = None
-        self._placements = make_placement_watch(self)
-        self.transport = GossipTransport(self.table, self.gossip)
-        self.distribution = make_distribution(
-            self.configuration,
-            self.platform,
-            self.transport,
-            self.metrics,
-            lambda: settings.get("platform", "poll_interval"),
-            self._placements.take_list,
-        )
-        self.operators = make_operators_server(self)
 
     @property
     def name(self):
