Wait in the test fleet until dispatchers hold the homes of their placement

Ruled out: a second home in the settled state; the homes of both instances agreed.

Change: the fixture waits until the services of the dispatcher are those of the placement. No check changed.

--- a/kumquatsaddle/testing/fleet.py
+++ b/kumquatsaddle/testing/fleet.py
@@ -226,7 +226,9 @@
             if not entry.application.started.is_set() or serving != names:
                 return False
         homes = [entry.node.placement.homes for entry in self.alive()]
-        return bool(homes[0]) and all(held == homes[0] for held in homes)
+        if not homes[0] or any(held != homes[0] for held in homes):
+            return False
+        return all(_holds_groups(entry.node) for entry in self.alive())
 
     async def _run_node(self, entry):
         try:
@@ -239,6 +241,15 @@
         return f"{self._prefix}.{next(self._hosts)}"
 
 
+def _holds_groups(node):
+    """Return whether the dispatcher has taken over the homes of the placement.
+
+    It does so shortly after the placement changes, since it closes connections.
+    """
+    services = {group.service for group in node.placement.groups_of(node.name)}
+    return services == set(node.dispatcher.pools)
+
+
 @asynccontextmanager
 async def open_fleet(nodes=2, backends=2, *, entities=None, work=0.001, sections=None):
     """Run a fleet: services ``lookup`` (idempotent) and ``order`` (not).
