Add variants that must fail to the whole-fleet proofs

Cause: the proofs of leaving, stopping, strangers and claims had no naive variant that shows that their check can fail.

Change: variants (replays accepted, draining ignored, SIGKILL for SIGTERM, claims taken over), floods one after the other.

--- a/tests/at_most_once.feature
+++ b/tests/at_most_once.feature
@@ -64,6 +64,15 @@
     Then the other instances answer "unknown" to a repeat of the key
     And 0 orders ran
 
+  Scenario: The check finds an instance that takes over claims
+    # Shows that the check above fails for the naive variant: the holder may only be
+    # paused, and would then run the order a second time.
+    Given instances that take over the claims of a holder that is gone
+    And a fleet of 3 instances
+    When an instance claims a key and crashes before its order is sent
+    Then a repeat of the key by another instance is "done"
+    And 1 order ran
+
   Scenario: A key is repeated after its operation has left the ledger
     # Guards against a second run, and against losing the outcome that the table keeps.
     Given a fleet of 3 instances
--- a/tests/floods.feature
+++ b/tests/floods.feature
@@ -13,6 +13,15 @@
       | bulk   |
       | urgent |
 
+  Scenario: A flood of bulk work and then one of urgent work
+    # Guards against what the first flood leaves behind: full queues, credit, slow
+    # estimates.
+    Given a fleet of 2 instances with 3 slow servers
+    When callers flood the fleet with bulk work for 4 seconds
+    Then the other ranks get whole answers to nearly all of their requests
+    When callers flood the fleet with urgent work for 4 seconds
+    Then the other ranks get whole answers to nearly all of their requests
+
   Scenario: The check finds a queue that serves first in, first out
     # Shows that the check above fails for the naive variant.
     Given queues that serve first in, first out
--- a/tests/processes.feature
+++ b/tests/processes.feature
@@ -31,3 +31,9 @@
     Given a fleet of 3 processes
     When all instances are told to stop under load
     Then every request in flight got a whole answer and the processes ended well
+
+  Scenario: The check finds an end that is no graceful shutdown
+    # Shows that the check above fails for the naive variant that just ends.
+    Given a fleet of 3 processes
+    When one instance is killed under load
+    Then the check finds requests that were cut off
--- a/tests/steps/at_most_once.py
+++ b/tests/steps/at_most_once.py
@@ -1,9 +1,9 @@
 import trio
 from behave import given, then, when
 
-from kumquatsaddle.entry import routing
+from kumquatsaddle.entry import claiming, routing
 from kumquatsaddle.entry.running import fingerprint_request
-from kumquatsaddle.exchange import Request
+from kumquatsaddle.exchange import Answer, Request
 from kumquatsaddle.operations.ledger import Ledger
 from kumquatsaddle.testing.chaos import run_chaos
 from kumquatsaddle.testing.fleet import open_fleet
@@ -75,6 +75,14 @@
     replace_attribute(context, routing.Router, "dispatch", dispatch_again)
 
 
+@given("instances that take over the claims of a holder that is gone")
+def take_over_claims(context):
+    def read_nothing(claim):
+        return Answer.refuse(RefusalReason.NO_BACKEND, claim.operation)
+
+    replace_attribute(context, claiming, "_read_record", read_nothing)
+
+
 @when(
     "callers send orders and lookups for {seconds:d} seconds"
     " under {faults} of seed {seed:d}"
@@ -161,13 +169,13 @@
 def order_first(context, outcome):
     first = ("Kumquatsaddle-Attempt", "1")
     raw = send_order(context, context.fleet.nodes[0], KEY, "k", first)
-    assert read_outcome(raw) == outcome
+    assert read_outcome(raw) == outcome, raw.headers
 
 
 @then('an order with a key is "{outcome}" on a later attempt')
 def order_later(context, outcome):
     raw = send_order(context, context.fleet.nodes[0], KEY, "k")
-    assert read_outcome(raw) == outcome
+    assert read_outcome(raw) == outcome, raw.headers
 
 
 @when("an instance claims a key and crashes before its order is sent")
@@ -188,6 +196,14 @@
         assert read_outcome(raw) == "unknown"
 
 
+@then('a repeat of the key by another instance is "{outcome}"')
+def check_taken_over(context, outcome):
+    # Another instance has to become home of the servers first.
+    context.loop.run(context.fleet.wait_until_serving)
+    raw = send_order(context, context.fleet.alive()[0], KEY, "k")
+    assert read_outcome(raw) == outcome, raw.headers
+
+
 @when("an order with a key ran and {seconds:d} seconds pass at the ledgers")
 def pass_time(context, seconds):
     raw = send_order(context, context.fleet.nodes[0], KEY, "k")
--- a/tests/steps/leaving.py
+++ b/tests/steps/leaving.py
@@ -1,5 +1,7 @@
 import trio
-from behave import then, when
+from behave import given, then, when
+
+from kumquatsaddle.dispatch.pools import ServicePool
 
 LOAD_PAUSE = 0.01
 GRACE = 3.0
@@ -43,6 +45,22 @@
     assert context.after == context.at_grace, (context.at_grace, context.after)
 
 
+@given("instances that do not believe a server that says it is draining")
+def ignore_draining(context):
+    original = ServicePool.record_draining
+    ServicePool.record_draining = lambda self, server: None
+
+    def restore():
+        ServicePool.record_draining = original
+
+    context.add_cleanup(restore)
+
+
+@then("the check finds requests after 3 seconds")
+def check_still_used(context):
+    assert context.after > context.at_grace, (context.at_grace, context.after)
+
+
 @when("the list says that all but one server leave while lookups run on them")
 def leave_under_load(context):
     fleet = context.fleet
--- a/tests/steps/processes.py
+++ b/tests/steps/processes.py
@@ -151,18 +151,23 @@
     stop(context, context.fleet.nodes)
 
 
-def stop(context, entries):
+@when("one instance is killed under load")
+def kill_one(context):
+    stop(context, context.fleet.nodes[:1], signal.SIGKILL)
+
+
+def stop(context, entries, number=signal.SIGTERM):
     context.streams = [Stream() for _ in range(12)]
 
     async def run():
         fleet = context.fleet
         async with trio.open_nursery() as nursery:
-            for number, stream in enumerate(context.streams):
-                entry = entries[number % len(entries)]
-                nursery.start_soon(stream.run, fleet, entry, number)
+            for index, stream in enumerate(context.streams):
+                entry = entries[index % len(entries)]
+                nursery.start_soon(stream.run, fleet, entry, index)
             await trio.sleep(0.5)
             for entry in entries:
-                fleet.send_signal(entry.name, signal.SIGTERM)
+                fleet.send_signal(entry.name, number)
         context.codes = [await fleet.wait_for_exit(entry.name) for entry in entries]
 
     context.loop.run(run)
@@ -175,3 +180,8 @@
     assert not cuts, cuts
     assert all(stream.whole > 3 for stream in context.streams)
     assert set(context.codes) == {0}
+
+
+@then("the check finds requests that were cut off")
+def check_cut(context):
+    assert any(stream.cut for stream in context.streams)
--- a/tests/steps/strangers.py
+++ b/tests/steps/strangers.py
@@ -3,13 +3,13 @@
 from contextlib import suppress
 
 import trio
-from behave import then, when
+from behave import given, then, when
 
 from kumquatsaddle.dispatch.peers import fill_forward
 from kumquatsaddle.entry.routing import TO_HOME
 from kumquatsaddle.exchange import Request
 from kumquatsaddle.membership.members import Member, write_member
-from kumquatsaddle.messages.codec import make_codec
+from kumquatsaddle.messages.codec import MessageCodec, make_codec
 from kumquatsaddle.messages.frames import write_frame
 from kumquatsaddle.types import InstanceState, Rank
 
@@ -104,6 +104,17 @@
     context.loop.run(run)
 
 
+@given("instances that accept any sequence number")
+def accept_replays(context):
+    original = MessageCodec._admit
+    MessageCodec._admit = lambda self, incarnation, sequence: True
+
+    def restore():
+        MessageCodec._admit = original
+
+    context.add_cleanup(restore)
+
+
 @when("a recorded forwarded order is sent {count:d} times to one instance")
 def replay_order(context, count):
     async def run():
--- a/tests/strangers.feature
+++ b/tests/strangers.feature
@@ -19,6 +19,13 @@
     When a recorded forwarded order is sent 3 times to one instance
     Then 1 order ran
 
+  Scenario: The check finds an instance that does not look for replays
+    # Shows that the check above fails for the naive variant.
+    Given instances that accept any sequence number
+    And a fleet of 2 instances
+    When a recorded forwarded order is sent 3 times to one instance
+    Then 3 orders ran
+
   Scenario: A message that was recorded is of no use at another instance
     # Guards against a second run from a message recorded on its way to another
     # instance, or to this one before its restart.
