Run all measures of slopes by make slopes

Cause: docs/CAPACITY.md uses four scripts, and make slopes ran one of them.

Change: the target runs control_cost, configuration_cost and idle_cost too.

--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,9 @@
 
 slopes: $(STAMP)
 	$(BIN)/python -m benchmarks.slopes
+	$(BIN)/python -m benchmarks.control_cost --seconds=120
+	$(BIN)/python -m benchmarks.configuration_cost
+	$(BIN)/python -m benchmarks.idle_cost --seconds=12
 
 soak: $(STAMP)
 	$(BIN)/python -m benchmarks.soak --seed=$(SEED) --minutes=$(MINUTES)
