--- a/benchmarks/idle_cost.py
+++ b/benchmarks/idle_cost.py
@@ -34,8 +34,8 @@
 from benchmarks.fits import fit_line, print_lines
 from demo.fleet import Fleet, call_http
 from kumquatsaddle.configuration.snapshots import write_snapshot
-from kumquatsaddle.platform.interface import ListedInstance
 from kumquatsaddle.settings.parsers import Address
+from kumquatsaddle.storage.interface import ListedInstance
 from standins.http import serve_http
 from standins.platform import PlatformStandin
 
--- a/demo/run.py
+++ b/demo/run.py
@@ -16,7 +16,7 @@
 from kumquatsaddle.caller import make_caller
 from kumquatsaddle.configuration.changes import commit_change
 from kumquatsaddle.dispatch.connections import open_connection
-from kumquatsaddle.platform.http import HttpPlatform
+from kumquatsaddle.storage.http import HttpPlatform
 from kumquatsaddle.types import Outcome
 
 __all__ = ["main"]
--- /dev/null
+++ b/kumquatsaddle/balance/choice.py
@@ -0,0 +1,97 @@
+"""The choice of a backend server for one request.
+
+Each server has a cost: its chance to fail the request, its load, its slowness and
+whether the answer has to cross zones. The cheapest server with a free slot is chosen.
+"""
+
+__all__ = ["CHOICE_WEIGHTS", "choose_server", "measure_cost"]
+
+from dataclasses import dataclass
+
+from kumquatsaddle.types import Rank
+
+
+@dataclass(frozen=True, slots=True)
+class ChoiceWeights:
+    """Costs beside the chance of a failure, in the same unit.
+
+    Parameters
+    ----------
+    load : float
+        Of a server whose slots are all taken.
+    other_zone : float
+        Of a server in another zone.
+    slow : float
+        For each multiple of the usual time above the first.
+    cold : float
+        Of a server that has just started.
+    most_acceptable : float
+        Cost above which a request rather waits, at first.
+    patience : float
+        Share of the time of a request after which any server is acceptable.
+    """
+
+    load: float = 0.05
+    other_zone: float = 0.25
+    slow: float = 0.15
+    cold: float = 0.1
+    most_acceptable: float = 0.5
+    patience: float = 0.5
+
+
+CHOICE_WEIGHTS = ChoiceWeights()
+# Requests beyond the slots that a server is given, by rank: they wait at the server.
+_OVERCOMMIT = {Rank.URGENT: 2, Rank.STANDARD: 0, Rank.BULK: 0}
+
+
+def measure_cost(server, request, now, zone, weights=CHOICE_WEIGHTS):
+    """Return the cost of sending a request to a server."""
+    record = server.record
+    cost = server.belief.measure_failure(now)
+    cost += weights.load * server.load / record.slots
+    cost += weights.slow * max(0.0, server.measure_pace(now) - 1.5)
+    if record.zone != zone:
+        cost += weights.other_zone
+    if now < server.cold_until:
+        cost += weights.cold
+    return cost
+
+
+def choose_server(servers, request, now, zone, excluded=(), weights=CHOICE_WEIGHTS):
+    """Return the cheapest server for a request, or None if it has to wait.
+
+    Parameters
+    ----------
+    servers : iterable of BalancedServer
+    request : RoutedRequest
+    now : float
+        On the clock of trio, in seconds.
+    zone : ZoneId
+        Of this instance.
+    excluded : collection of BackendId
+        Servers that the request was sent to already.
+    """
+    best, best_order = None, None
+    limit = _measure_limit(request, now, weights)
+    for server in servers:
+        if server.name in excluded or not server.is_open(now):
+            continue
+        if server.load >= server.record.slots + _OVERCOMMIT[request.rank]:
+            continue
+        cost = measure_cost(server, request, now, zone, weights)
+        if cost > limit:
+            continue
+        # Among equals the one that waited longest, so that evidence spreads.
+        order = (round(cost, 2), server.last_chosen)
+        if best_order is None or order < best_order:
+            best, best_order = server, order
+    return best
+
+
+def _measure_limit(request, now, weights):
+    """Return the highest acceptable cost, which grows with the time waited."""
+    allowed = (request.deadline - request.arrived) * weights.patience
+    waited = (now - request.arrived) / max(allowed, 0.001)
+    if waited >= 1:
+        return float("inf")
+    return weights.most_acceptable + (2.0 - weights.most_acceptable) * waited
--- /dev/null
+++ b/kumquatsaddle/balance/requests.py
@@ -0,0 +1,50 @@
+"""Requests as the balanced dispatcher handles them."""
+
+from dataclasses import dataclass
+
+from kumquatsaddle.routes.table import PublishedRoute
+from kumquatsaddle.types import ServiceName
+
+__all__ = ["RoutedRequest"]
+
+
+@dataclass(slots=True)
+class RoutedRequest:
+    """A request of a caller whose route and service are known.
+
+    Parameters
+    ----------
+    request_id : bytes
+        As the caller sent it; empty if it sent none.
+    method, target : str
+    headers : list of (bytes, bytes)
+        End-to-end headers; names in lower case.
+    body : bytes
+    route : PublishedRoute
+    service : ServiceName
+    arrived : float
+        When it was read, on the clock of trio in seconds.
+    deadline : float
+        When its final answer is due, on the same clock: the earlier of the caller's
+        deadline and the timeout of the route.
+    """
+
+    request_id: bytes
+    method: str
+    target: str
+    headers: list
+    body: bytes
+    route: PublishedRoute
+    service: ServiceName
+    arrived: float
+    deadline: float
+
+    @property
+    def idempotent(self):
+        """Whether it may run more than once."""
+        return self.route.idempotent
+
+    @property
+    def rank(self):
+        """Rank of its route."""
+        return self.route.rank
--- /dev/null
+++ b/kumquatsaddle/balance/servers.py
@@ -0,0 +1,168 @@
+"""A backend server as one instance sees it: evidence, load and connections."""
+
+import trio
+
+from kumquatsaddle.balance.beliefs import Belief
+from kumquatsaddle.dispatch.connections import open_connection
+
+__all__ = ["BalancedServer"]
+
+# Time in seconds for a connection to open; it usually takes 1 ms.
+_CONNECT_TIMEOUT = 0.6
+# Idle connections kept to one server.
+_MOST_IDLE = 8
+# Time in seconds that an idle connection is used, and for a request that must not
+# repeat: a server that has just closed its side loses what is sent.
+_IDLE_LIMIT = 8.0
+_UNSAFE_IDLE_LIMIT = 4.0
+# Time in seconds by which a connection is given up before the server closes it.
+_IDLE_MARGIN = 1.5
+# Weight of the latest answer in the pace of a server.
+_PACE_WEIGHT = 0.2
+# Time in seconds after which a slow answer counts half.
+_PACE_HALF_LIFE = 4.0
+# Times in seconds that a server is avoided after a failed connection.
+_UNREACHABLE_PAUSES = (0.5, 1.0, 2.0, 4.0)
+
+
+class BalancedServer:
+    """One backend server.
+
+    Parameters
+    ----------
+    record : ServerRecord
+    protocol : BackendProtocol
+    now : float
+        On the clock of trio, in seconds.
+
+    Attributes
+    ----------
+    own_load : int
+        Requests of this instance that are in flight.
+    served, failed : int
+        Answers that this instance has seen since it knows the server.
+    """
+
+    def __init__(self, record, protocol, now):
+        self.record = record
+        self.protocol = protocol
+        self.belief = Belief(now)
+        self.own_load = 0
+        self.served = 0
+        self.failed = 0
+        self.gone = False
+        self.cold_until = now + record.cold
+        self.last_chosen = 0
+        self._peer_loads = {}
+        self._peer_total = 0
+        self._idle = []
+        self._started = {}
+        self._pace = 1.0
+        self._pace_updated = now
+        self._unreachable_until = 0.0
+        self._failed_connects = 0
+        self._full_until = 0.0
+
+    @property
+    def name(self):
+        """The id of the server."""
+        return self.record.name
+
+    @property
+    def load(self):
+        """Requests in flight, as far as this instance knows."""
+        return self.own_load + self._peer_total
+
+    def update(self, record, now):
+        """Take over a changed entry of the same incarnation."""
+        self.record = record
+        self.cold_until = now + record.cold
+
+    def set_peer_load(self, instance, load):
+        """Note what another instance has in flight."""
+        known = self._peer_loads.get(instance, 0)
+        if load == known:
+            return False
+        if load:
+            self._peer_loads[instance] = load
+        else:
+            del self._peer_loads[instance]
+        self._peer_total += load - known
+        return True
+
+    def begin(self, key, now, expected):
+        """Note that a request starts; `expected` is its usual time in seconds."""
+        self.own_load += 1
+        self._started[key] = (now, expected)
+
+    def end(self, key):
+        """Note that a request has ended."""
+        self.own_load -= 1
+        self._started.pop(key, None)
+
+    def note_pace(self, now, ratio):
+        """Add an answer that took `ratio` times its usual time."""
+        current = self.measure_pace(now)
+        self._pace = current + _PACE_WEIGHT * (min(ratio, 10.0) - current)
+        self._pace_updated = now
+
+    def measure_pace(self, now):
+        """Return how many times the usual time the server takes."""
+        age = now - self._pace_updated
+        pace = 1.0 + (self._pace - 1.0) * 0.5 ** (age / _PACE_HALF_LIFE)
+        for started, expected in self._started.values():
+            # A request that is still unanswered shows slowness before its answer does.
+            pace = max(pace, min(10.0, (now - started) / expected - 1.0))
+        return pace
+
+    def note_full(self, now, pause):
+        """Note that the server refused a request for lack of room."""
+        self._full_until = now + pause
+
+    def note_unreachable(self, now):
+        """Note that the server did not accept a connection."""
+        step = min(self._failed_connects, len(_UNREACHABLE_PAUSES) - 1)
+        self._unreachable_until = now + _UNREACHABLE_PAUSES[step]
+        self._failed_connects += 1
+
+    def is_open(self, now):
+        """Return whether the server may be asked at all."""
+        paused = max(self._unreachable_until, self._full_until)
+        return not self.gone and not self.record.draining and now >= paused
+
+    async def take_connection(self, idempotent):
+        """Return a connection for a request, idle or new.
+
+        Raises
+        ------
+        ExchangeError
+            If the server does not accept a connection.
+        """
+        now = trio.current_time()
+        limit = _IDLE_LIMIT if idempotent else _UNSAFE_IDLE_LIMIT
+        while self._idle:
+            connection, since = self._idle.pop()
+            kept = connection.keep_alive
+            usable = limit if kept is None else min(limit, kept - _IDLE_MARGIN)
+            if now - since < usable and connection.is_reusable():
+                return connection
+            await connection.close()
+        connection = await open_connection(
+            self.record.address, _CONNECT_TIMEOUT, self.protocol
+        )
+        self._failed_connects = 0
+        return connection
+
+    async def return_connection(self, connection):
+        """Keep a connection for reuse, or close it."""
+        if self.gone or len(self._idle) >= _MOST_IDLE or not connection.is_reusable():
+            await connection.close()
+        else:
+            self._idle.append((connection, trio.current_time()))
+
+    async def close(self):
+        """Close the idle connections; those in use close when they are returned."""
+        self.gone = True
+        while self._idle:
+            connection, _ = self._idle.pop()
+            await connection.close()
--- a/kumquatsaddle/commands/ctl.py
+++ b/kumquatsaddle/commands/ctl.py
@@ -65,9 +65,9 @@
     ConfigurationError,
     KumquatsaddleError,
 )
-from kumquatsaddle.platform.interface import make_platform
 from kumquatsaddle.registries import Registry
 from kumquatsaddle.settings.files import load_settings
+from kumquatsaddle.storage.interface import make_platform
 
 __all__ = ["main"]
 
--- a/kumquatsaddle/commands/tests/steps/ctl.py
+++ b/kumquatsaddle/commands/tests/steps/ctl.py
@@ -17,8 +17,8 @@
     ConflictError,
 )
 from kumquatsaddle.lifecycle.node import make_node
-from kumquatsaddle.platform.memory import MemoryPlatform
 from kumquatsaddle.settings.files import load_settings
+from kumquatsaddle.storage.memory import MemoryPlatform
 from kumquatsaddle.testing.operators import write_settings
 
 _HOUR = 3600.0
--- a/kumquatsaddle/configuration/tests/steps/distribution.py
+++ b/kumquatsaddle/configuration/tests/steps/distribution.py
@@ -15,7 +15,7 @@
     ConflictError,
     PlatformError,
 )
-from kumquatsaddle.platform.interface import InstanceList, ListedInstance
+from kumquatsaddle.storage.interface import InstanceList, ListedInstance
 from kumquatsaddle.testing.configuration import (
     FakeNetwork,
     FaultyPlatform,
--- a/kumquatsaddle/configuration/tests/steps/nodes.py
+++ b/kumquatsaddle/configuration/tests/steps/nodes.py
@@ -9,8 +9,8 @@
 
 from kumquatsaddle.configuration.commits import Edit, commit_edit
 from kumquatsaddle.lifecycle.node import make_node
-from kumquatsaddle.platform.interface import ListedInstance
 from kumquatsaddle.settings.files import load_settings
+from kumquatsaddle.storage.interface import ListedInstance
 from kumquatsaddle.testing.configuration import FaultyPlatform
 from kumquatsaddle.testing.runs import in_trio
 
--- a/kumquatsaddle/configuration/transport.py
+++ b/kumquatsaddle/configuration/transport.py
@@ -6,7 +6,7 @@
 from kumquatsaddle.configuration.changes import parse_change
 from kumquatsaddle.dispatch.peers import PeerError
 from kumquatsaddle.exceptions import ConfigurationError
-from kumquatsaddle.platform.interface import parse_instances
+from kumquatsaddle.storage.interface import parse_instances
 from kumquatsaddle.types import InstanceState
 
 __all__ = [
--- a/kumquatsaddle/dispatch/connections.py
+++ b/kumquatsaddle/dispatch/connections.py
@@ -7,9 +7,12 @@
 included, is never used again, so a late answer has no reader.
 """
 
+import re
+
 import h11
 import trio
 
+from kumquatsaddle.dispatch.protocol import OWN_PROTOCOL
 from kumquatsaddle.exceptions import KumquatsaddleError
 from kumquatsaddle.types import RefusalReason
 
@@ -20,9 +23,15 @@
 # Informational answers (1xx) accepted before the final one.
 _MAX_INFORMATIONAL = 16
 # A server may repeat this header of a request in its answer (see `exchange`).
-REQUEST_HEADER = b"kumquatsaddle-request"
+REQUEST_HEADER = OWN_PROTOCOL.request_id
+# Longest request in bytes that is written before the answer is read. A server may
+# answer a longer one before it has read it, and read on later.
+_MOST_UNREAD_BYTES = 4096
+# Answers to other requests that are skipped before the one that is awaited.
+_MAX_STRAYS = 8
 # Statuses of answers without a body (RFC 9110, section 6.4.1).
 _BODILESS_STATUSES = frozenset({204, 304})
+_KEEP_ALIVE = re.compile(rb"timeout=([0-9]{1,6})")
 # Hop-by-hop headers (RFC 9110, section 7.6.1) and those that h11 frames itself.
 HOP_HEADERS = frozenset(
     {
@@ -84,13 +93,22 @@
     Parameters
     ----------
     stream : trio.abc.Stream
+    protocol : BackendProtocol, optional
+
+    Attributes
+    ----------
+    keep_alive : float or None
+        Time in seconds for which the server said that it keeps the connection idle.
     """
 
-    def __init__(self, stream):
+    def __init__(self, stream, protocol=OWN_PROTOCOL):
         self._stream = stream
+        self._protocol = protocol
         self._parser = h11.Connection(h11.CLIENT, _MAX_HEAD_BYTES)
         self._answered = False
         self._echoes = False
+        self._unsent = False
+        self.keep_alive = None
         self.exchanges = 0
 
     def is_reusable(self):
@@ -99,7 +117,7 @@
         A connection with unread bytes is not reusable: they are the end of the
         connection or an answer to no request of ours.
         """
-        if self._parser.our_state is not h11.IDLE:
+        if self._parser.our_state is not h11.IDLE or self._unsent:
             return False
         if self._parser.trailing_data[0]:
             return False
@@ -141,15 +159,17 @@
         data = self._encode(method, target, headers, body)
         on_written()
         try:
-            await self._stream.send_all(data)
-            answer = await self._receive(method, max_body)
+            if len(data) <= _MOST_UNREAD_BYTES:
+                await self._stream.send_all(data)
+                answer = await self._receive_own(method, headers, max_body)
+            else:
+                answer = await self._send_and_receive(method, headers, data, max_body)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise self._fail(RefusalReason.ANSWER_LOST, error) from None
         except h11.RemoteProtocolError as error:
             if not self._answered:
                 raise self._fail(RefusalReason.ANSWER_LOST, error) from None
             raise self._fail(RefusalReason.ANSWER_TRUNCATED, error) from None
-        self._check_echo(headers, answer)
         self.exchanges += 1
         self._start_next_cycle()
         return answer
@@ -168,9 +188,65 @@
         except h11.LocalProtocolError as error:
             raise ExchangeError(RefusalReason.BAD_REQUEST, False, error) from None
 
+    async def _send_and_receive(self, method, headers, data, max_body):
+        """Write a long request while its answer is awaited."""
+        self._unsent = True
+        broken = None
+
+        async def send():
+            nonlocal broken
+            try:
+                await self._stream.send_all(data)
+                self._unsent = False
+            except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+                # The answer may have been sent before the server closed its side.
+                broken = error
+
+        answer = failure = None
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(send)
+            try:
+                answer = await self._receive_own(method, headers, max_body)
+            except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+                failure = error
+            except (h11.RemoteProtocolError, ExchangeError) as error:
+                failure = error
+            nursery.cancel_scope.cancel()
+        if failure is not None:
+            # Raised outside of the nursery, which would wrap it in a group.
+            raise failure
+        self._unsent = self._unsent or broken is not None
+        return answer
+
+    async def _receive_own(self, method, headers, max_body):
+        """Return the answer to this request, past strays if the protocol says so."""
+        for _ in range(_MAX_STRAYS + 1):
+            answer = await self._receive(method, max_body)
+            if self._is_own(headers, answer):
+                return answer
+            if not self._protocol.skips_strays or not self._renew_parser(method):
+                break
+        raise self._fail(RefusalReason.ANSWER_MISMATCH, "another request")
+
+    def _renew_parser(self, method):
+        """Await a further answer to the request; return False at the end."""
+        if self._parser.their_state is not h11.DONE:
+            return False
+        data, ended = self._parser.trailing_data
+        if ended:
+            return False
+        self._parser = h11.Connection(h11.CLIENT, _MAX_HEAD_BYTES)
+        # Brings the parser to the state after the request; the bytes were sent before.
+        sent = h11.Request(method=method, target="/", headers=[("host", "")])
+        self._parser.send(sent)
+        self._parser.send(h11.EndOfMessage())
+        if data:
+            self._parser.receive_data(data)
+        return True
+
     async def _receive(self, method, max_body):
         head = await self._receive_head()
-        if not _has_known_end(method, head):
+        if not _has_known_end(method, head, self._protocol.allows_unframed):
             raise self._fail(RefusalReason.ANSWER_TRUNCATED, "no single length")
         parts, size = [], 0
         while True:
@@ -183,6 +259,7 @@
             size += len(event.data)
             if size > max_body:
                 raise self._fail(RefusalReason.ANSWER_TOO_LARGE, size)
+        self.keep_alive = _read_keep_alive(head.headers)
         headers = _select_headers(method, head.headers)
         return RawAnswer(head.status_code, headers, b"".join(parts))
 
@@ -204,13 +281,16 @@
             self._answered = self._answered or bool(data)
             self._parser.receive_data(data)
 
-    def _check_echo(self, headers, answer):
-        echo = answer.get_header(REQUEST_HEADER)
+    def _is_own(self, headers, answer):
+        """Return whether an answer belongs to the request with these headers."""
+        wanted = self._protocol.request_id
+        echo = answer.get_header(wanted)
         if echo is None and not self._echoes:
-            return
-        if echo not in [value for name, value in headers if name == REQUEST_HEADER]:
-            raise self._fail(RefusalReason.ANSWER_MISMATCH, "another request")
+            return True
+        if echo not in [value for name, value in headers if name == wanted]:
+            return False
         self._echoes = True
+        return True
 
     def _fail(self, reason, detail):
         return ExchangeError(reason, True, detail, self._answered)
@@ -231,7 +311,15 @@
     return [item for item in headers if item[0] not in dropped]
 
 
-def _has_known_end(method, head):
+def _read_keep_alive(headers):
+    """Return the time-out of a ``Keep-Alive`` header in seconds, or None."""
+    for name, value in headers:
+        if name == b"keep-alive" and (found := _KEEP_ALIVE.search(value)):
+            return float(found[1])
+    return None
+
+
+def _has_known_end(method, head, allows_unframed=False):
     """Return whether the end of an answer can be told from a cut.
 
     An answer with both a length and a transfer coding is ambiguous (RFC 9112,
@@ -240,10 +328,12 @@
     if method == "HEAD" or head.status_code in _BODILESS_STATUSES:
         return True
     names = {name for name, _ in head.headers}
-    return (b"content-length" in names) != (b"transfer-encoding" in names)
+    has_length = b"content-length" in names
+    is_coded = b"transfer-encoding" in names
+    return has_length != is_coded or (allows_unframed and not has_length)
 
 
-async def open_connection(address, timeout):
+async def open_connection(address, timeout, protocol=OWN_PROTOCOL):
     """Connect to a backend server.
 
     Parameters
@@ -251,6 +341,7 @@
     address : Address
     timeout : float
         In seconds.
+    protocol : BackendProtocol, optional
 
     Raises
     ------
@@ -262,4 +353,4 @@
             stream = await trio.open_tcp_stream(address.host, address.port)
     except (OSError, trio.TooSlowError) as error:
         raise ExchangeError(RefusalReason.BACKEND_UNREACHABLE, False, error) from None
-    return BackendConnection(stream)
+    return BackendConnection(stream, protocol)
--- a/kumquatsaddle/exceptions.py
+++ b/kumquatsaddle/exceptions.py
@@ -14,6 +14,7 @@
     "PlatformError",
     "PlatformUnavailableError",
     "ConflictError",
+    "HistoryLostError",
     "ChangeNotWrittenError",
     "ChangeUnknownError",
     "RefusedError",
@@ -96,6 +97,10 @@
     exit_code = 6
 
 
+class HistoryLostError(PlatformError):
+    """The store no longer keeps the changes that were asked for."""
+
+
 class ChangeNotWrittenError(PlatformUnavailableError):
     """A configuration change was not written and never will be."""
 
--- a/kumquatsaddle/lifecycle/node.py
+++ b/kumquatsaddle/lifecycle/node.py
@@ -45,8 +45,8 @@
 from kumquatsaddle.operations.claims import make_claims
 from kumquatsaddle.operations.issuer import make_incarnation, make_issuer
 from kumquatsaddle.operations.ledger import make_ledger
-from kumquatsaddle.platform.interface import make_platform
 from kumquatsaddle.settings.reload import reload_settings
+from kumquatsaddle.storage.interface import make_platform
 from kumquatsaddle.types import InstanceState
 
 __all__ = ["Node", "make_node"]
--- /dev/null
+++ b/kumquatsaddle/lifecycle/routed_node.py
@@ -0,0 +1,288 @@
+"""An entry instance that serves published routes and dispatches by itself.
+
+`make_routed_node` composes the parts: the follower of the store, the exchange with
+the instances of the zone, the balanced dispatcher and the servers. What belongs to
+one platform, its store, its header names and its pages, is passed in.
+"""
+
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import trio
+
+from kumquatsaddle.balance.dispatcher import make_balanced_dispatcher
+from kumquatsaddle.discovery.follower import make_follower
+from kumquatsaddle.discovery.records import InstanceRecord
+from kumquatsaddle.dispatch.protocol import BackendProtocol
+from kumquatsaddle.entry.callers import make_caller_server
+from kumquatsaddle.entry.routed import CallerProtocol, make_routed_proxy
+from kumquatsaddle.exceptions import PlatformUnavailableError, SettingsError
+from kumquatsaddle.lifecycle.application import make_application
+from kumquatsaddle.lifecycle.pauses import make_pause_watch
+from kumquatsaddle.lifecycle.servers import start_server
+from kumquatsaddle.logs import log_event, set_log_level
+from kumquatsaddle.metrics import make_metrics
+from kumquatsaddle.routes.table import ShareCounter
+from kumquatsaddle.settings.files import Settings
+from kumquatsaddle.settings.parsers import Address
+from kumquatsaddle.settings.reload import reload_settings
+from kumquatsaddle.sharing.exchange import make_zone_exchange
+from kumquatsaddle.sharing.peers import PeerTable
+
+__all__ = ["DeploymentParts", "RoutedNode", "make_routed_node"]
+
+# Pause in seconds between attempts to register.
+_REGISTER_PAUSE = 0.5
+# Time in seconds between reports to the first contacts until a peer is heard.
+_JOIN_INTERVAL = 0.3
+# Time in seconds between looks at the settings file.
+_SETTINGS_INTERVAL = 1.0
+
+
+@dataclass(frozen=True)
+class DeploymentParts:
+    """What a platform brings to an instance.
+
+    Parameters
+    ----------
+    store : DiscoveryStore
+    callers : CallerProtocol
+    backends : BackendProtocol
+    make_pages : callable
+        Takes the node; returns a mapping of keys of ``[listen]`` to objects with an
+        async ``answer(caller_request)``.
+    """
+
+    store: Any
+    callers: CallerProtocol
+    backends: BackendProtocol
+    make_pages: Any
+
+
+class _CallerScope:
+    """What the server for callers needs of the node: settings and metrics.
+
+    The limits of the published routes go before those of the settings.
+    """
+
+    def __init__(self, settings, metrics):
+        self.settings = Settings(dict(settings.values), {}, settings.file)
+        self.metrics = metrics
+
+    def apply_limits(self, limits):
+        values = self.settings.values
+        values["limits", "header_bytes"] = limits.header_bytes
+        values["limits", "body_bytes"] = limits.body_bytes
+        values["limits", "head_timeout"] = limits.head_timeout
+        values["limits", "idle_timeout"] = limits.idle_timeout
+
+
+class RoutedNode:
+    """One entry instance.
+
+    Parameters
+    ----------
+    settings : Settings
+    parts : DeploymentParts
+    """
+
+    def __init__(self, settings, parts):
+        self.settings = settings
+        self.metrics = make_metrics()
+        self.metrics.set_limits(settings)
+        self.own = InstanceRecord(
+            settings.get("instance", "id"),
+            settings.get("instance", "zone"),
+            settings.get("listen", "callers"),
+            settings.get("listen", "control"),
+        )
+        self.peers = PeerTable(self.own)
+        self.dispatcher = make_balanced_dispatcher(
+            self.own.zone,
+            parts.backends,
+            self.metrics,
+            settings.get("limits", "answer_bytes"),
+            settings.get("repeats", "share"),
+            settings.get("repeats", "allowance"),
+            settings.get("repeats", "window"),
+        )
+        self.follower = make_follower(
+            parts.store, self.peers, self._update_servers, self._update_routes
+        )
+        self.exchange = make_zone_exchange(
+            self.peers, self.dispatcher, self, self.metrics
+        )
+        self.follower.exchange = self.exchange
+        self._parts = parts
+        self._store = parts.store
+        self._shares = ShareCounter()
+        self._pauses = make_pause_watch()
+        self._scope = _CallerScope(settings, self.metrics)
+        self._leaving = False
+        self.callers = None
+
+    def is_serving(self):
+        """Return whether callers may be sent here."""
+        return self.follower.is_ready() and not self._leaving
+
+    def is_leaving(self):
+        """Return whether the instance is stopping."""
+        return self._leaving
+
+    def list_serving(self):
+        """Return the `InstanceRecord` of the instances for callers of this zone."""
+        return self.peers.list_serving(self.is_serving())
+
+    def routes_version(self):
+        """Return the store version of the routes in force."""
+        row = self.follower.routes_row
+        return row.version if row is not None else 0
+
+    def servers_version(self):
+        """Return the store version of the newest known entry of a server."""
+        return self.follower.servers.content_version
+
+    def measure_read_age(self):
+        """Return how old the view of the store is, in seconds."""
+        return self.follower.measure_read_age()
+
+    def make_update(self, fetch):
+        """Return the answer to the fetch of a peer."""
+        return self.follower.make_update(fetch)
+
+    def note_versions(self, peer):
+        """Take note of the versions in a report of a peer."""
+        self.follower.note_versions(peer)
+
+    async def start(self, nursery):
+        """Start the servers and the tasks."""
+        proxy = make_routed_proxy(
+            self._parts.callers,
+            self.dispatcher,
+            lambda: self.follower.routes,
+            self._shares.choose_service,
+            self._pauses.measure_age,
+            self.metrics,
+        )
+        nursery.start_soon(self._pauses.run)
+        await start_server(nursery, self._run_exchange, self.settings, "control")
+        for key, page in self._parts.make_pages(self).items():
+            server = make_caller_server(self._scope, page)
+            await start_server(nursery, server.run, self.settings, key)
+        self.callers = make_caller_server(self._scope, proxy)
+        await start_server(nursery, self.callers.run, self.settings, "callers")
+        nursery.start_soon(self.follower.run)
+        nursery.start_soon(self._register)
+        nursery.start_soon(self._join)
+        nursery.start_soon(self._watch_settings)
+
+    def reload(self):
+        """Apply a changed settings file, or report an error."""
+        try:
+            changed = reload_settings(self.settings)
+        except SettingsError as error:
+            self.metrics.count("reloads_refused")
+            log_event("reload_refused", level="ERROR", error=error)
+            return
+        terms = self.dispatcher.terms
+        terms.share = self.settings.get("repeats", "share")
+        terms.allowance = self.settings.get("repeats", "allowance")
+        terms.window = self.settings.get("repeats", "window")
+        if ("log", "level") in changed:
+            set_log_level(changed["log", "level"])
+        for (section, key), value in changed.items():
+            self._scope.settings.values[section, key] = value
+            log_event("setting_changed", section=section, key=key, value=value)
+        if self.follower.routes is not None:
+            self._update_routes(self.follower.routes)
+
+    async def stop(self):
+        """Leave the address answer and end the work in flight."""
+        self._leaving = True
+        self.exchange.report_now()
+        await self.callers.drain(
+            self.settings.get("stop", "notice"), self.settings.get("stop", "grace")
+        )
+
+    async def _run_exchange(self, address, task_status=trio.TASK_STATUS_IGNORED):
+        await self.exchange.run(task_status)
+
+    async def _update_servers(self, records):
+        await self.dispatcher.update_servers(records)
+
+    def _update_routes(self, routes):
+        if routes.limits is not None:
+            self._scope.apply_limits(routes.limits)
+
+    async def _register(self):
+        """Write the own entry and read those of the others."""
+        while True:
+            try:
+                await self._store.register_instance(self.own)
+                records = await self._store.list_instances()
+                break
+            except PlatformUnavailableError as error:
+                log_event("registration_failed", level="WARNING", error=error)
+                await trio.sleep(_REGISTER_PAUSE)
+        now = trio.current_time()
+        for record in records:
+            self.peers.add_instance(record, now)
+        self.dispatcher.terms.instances = len(self.peers.instances)
+        log_event("registered", instances=len(records))
+        peers = [peer.record.control for peer in self.peers.peers.values()]
+        await self.exchange.introduce(peers)
+
+    async def _join(self):
+        """Ask the first contacts of the settings until a peer is heard."""
+        port = self.own.control.port
+        contacts = [
+            Address(address.host, port)
+            for address in self.settings.get("membership", "seeds")
+            if address.host != self.own.control.host
+        ]
+        while contacts and not self.peers.list_alive():
+            await self.follower.join(contacts)
+            peers = [peer.record.control for peer in self.peers.peers.values()]
+            await self.exchange.introduce(peers)
+            await trio.sleep(_JOIN_INTERVAL)
+
+    async def _watch_settings(self):
+        """Apply changes of the settings file that come without a signal."""
+        known = _read_stamp(self.settings.file)
+        while True:
+            await trio.sleep(_SETTINGS_INTERVAL)
+            stamp = _read_stamp(self.settings.file)
+            if stamp != known:
+                known = stamp
+                self.reload()
+
+
+def make_routed_node(settings, parts):
+    """Return an instance and the application that runs it.
+
+    Parameters
+    ----------
+    settings : Settings
+    parts : DeploymentParts
+
+    Returns
+    -------
+    node : RoutedNode
+    application : Application
+    """
+    node = RoutedNode(settings, parts)
+    application = make_application(node.own.name)
+    application.on_start(node.start)
+    application.on_stop(node.stop)
+    application.on_reload(node.reload)
+    return node, application
+
+
+def _read_stamp(file):
+    """Return what changes when a file is written again, or None if it is absent."""
+    try:
+        status = Path(file).stat()
+    except OSError:
+        return None
+    return status.st_mtime_ns, status.st_size, status.st_ino
--- a/kumquatsaddle/operations/tests/steps/operations.py
+++ b/kumquatsaddle/operations/tests/steps/operations.py
@@ -16,7 +16,7 @@
     parse_incarnation,
 )
 from kumquatsaddle.operations.ledger import make_ledger
-from kumquatsaddle.platform.memory import MemoryPlatform
+from kumquatsaddle.storage.memory import MemoryPlatform
 from kumquatsaddle.testing.platforms import FaultyPlatform
 from kumquatsaddle.types import Outcome, RefusalReason
 
--- /dev/null
+++ b/kumquatsaddle/routes/table.py
@@ -0,0 +1,235 @@
+"""One version of the published routes, and the match of a request against them.
+
+A route is selected by the host and the longest prefix of the path. Its requests go to
+one service, or to several in the proportions of their weights.
+"""
+
+from dataclasses import dataclass
+from random import Random
+
+from kumquatsaddle.exceptions import ConfigurationError
+from kumquatsaddle.types import ConfigVersion, Rank, ServiceName
+
+__all__ = [
+    "CallerLimits",
+    "PublishedRoute",
+    "PublishedService",
+    "RouteShare",
+    "RouteTable",
+    "make_route_table",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class RouteShare:
+    """A service that gets a share of the requests of a route.
+
+    Parameters
+    ----------
+    service : ServiceName
+    weight : float
+        Relative to the weights of the other shares.
+    """
+
+    service: ServiceName
+    weight: float
+
+
+@dataclass(frozen=True, slots=True)
+class PublishedRoute:
+    """Terms of the requests of one host and path prefix.
+
+    Parameters
+    ----------
+    name : str
+    host : str
+        In lower case, without a port.
+    prefix : str
+        Begins and ends with a slash.
+    idempotent : bool
+        Whether a request may run more than once.
+    timeout : float
+        Longest time until the final answer, in seconds.
+    objective : float
+        Time in seconds within which an answer has its full value.
+    rank : Rank
+    max_attempts : int
+        Backend servers to which one request may be sent.
+    shares : tuple of RouteShare
+    """
+
+    name: str
+    host: str
+    prefix: str
+    idempotent: bool
+    timeout: float
+    objective: float
+    rank: Rank
+    max_attempts: int
+    shares: tuple[RouteShare, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class PublishedService:
+    """A service that routes may name.
+
+    Parameters
+    ----------
+    name : ServiceName
+    max_connections : int
+        Connections that one backend server accepts from all callers together.
+    """
+
+    name: ServiceName
+    max_connections: int
+
+
+@dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """What a caller may send, and how long it may take.
+
+    Parameters
+    ----------
+    header_bytes, body_bytes : int
+    head_timeout : float
+        For the head of a request to arrive, in seconds.
+    idle_timeout : float
+        Of a keep-alive connection, in seconds.
+    """
+
+    header_bytes: int
+    body_bytes: int
+    head_timeout: float
+    idle_timeout: float
+
+
+class RouteTable:
+    """One version of the published routes.
+
+    Parameters
+    ----------
+    version : ConfigVersion
+    routes : iterable of PublishedRoute
+    services : dict of ServiceName to PublishedService
+    limits : CallerLimits or None
+        None keeps those of the settings.
+    """
+
+    def __init__(self, version, routes, services, limits=None):
+        self.version = version
+        self.services = services
+        self.limits = limits
+        self._by_host = {}
+        for route in routes:
+            prefixes = self._by_host.setdefault(route.host, {})
+            if route.prefix in prefixes:
+                raise ConfigurationError(
+                    f"{route.host}{route.prefix} is given twice", route.name
+                )
+            prefixes[route.prefix] = route
+
+    def match_route(self, host, path):
+        """Return the route of a request, or None.
+
+        Parameters
+        ----------
+        host : str
+            Value of the ``Host`` header; a port is ignored.
+        path : str
+            Without the query.
+
+        Notes
+        -----
+        Costs one look-up for each slash of the path, whatever the number of routes.
+        """
+        prefixes = self._by_host.get(host.partition(":")[0].lower())
+        if prefixes is None:
+            return None
+        end = path.rfind("/")
+        while end >= 0:
+            route = prefixes.get(path[: end + 1])
+            if route is not None:
+                return route
+            end = path.rfind("/", 0, end)
+        return None
+
+    def list_routes(self):
+        """Yield all routes."""
+        for prefixes in self._by_host.values():
+            yield from prefixes.values()
+
+
+class ShareCounter:
+    """Distributes the requests of routes over their services by weight.
+
+    Each request goes to the share that is furthest behind its weight, so that any
+    number of requests keeps the proportions to within one request.
+
+    Parameters
+    ----------
+    random : random.Random, optional
+        Sets where a new route begins, so that the instances of a fleet do not all
+        send their first request to the same service.
+    """
+
+    def __init__(self, random=None):
+        self._random = random or Random()
+        self._credits = {}
+
+    def choose_service(self, route):
+        """Return the service of the next request of a route."""
+        if len(route.shares) == 1:
+            return route.shares[0].service
+        credits = self._credits.get(route.name)
+        if credits is None or set(credits) != {item.service for item in route.shares}:
+            credits = {item.service: self._random.random() for item in route.shares}
+            self._credits[route.name] = credits
+        total = sum(item.weight for item in route.shares)
+        for item in route.shares:
+            credits[item.service] += item.weight / total
+        chosen = max(route.shares, key=lambda item: credits[item.service]).service
+        credits[chosen] -= 1.0
+        return chosen
+
+
+def make_route_table(version, routes, services, limits=None):
+    """Return a checked table; see `RouteTable`.
+
+    Raises
+    ------
+    ConfigurationError
+        If a route names an unknown service, has no share with a positive weight, no
+        attempt or no timeout, or stands twice.
+
+    Examples
+    --------
+    >>> from kumquatsaddle.types import Rank
+    >>> route = PublishedRoute(
+    ...     "r", "shop.example", "/a/", True, 5.0, 2.0, Rank.BULK, 2,
+    ...     (RouteShare("catalogue", 1.0),),
+    ... )
+    >>> services = {"catalogue": PublishedService("catalogue", 330)}
+    >>> table = make_route_table(1, [route], services)
+    >>> table.match_route("shop.example:80", "/a/b").name
+    'r'
+    """
+    routes = list(routes)
+    for route in routes:
+        _check_route(route, services)
+    return RouteTable(ConfigVersion(version), routes, services, limits)
+
+
+def _check_route(route, services):
+    if not route.prefix.startswith("/") or not route.prefix.endswith("/"):
+        raise ConfigurationError(f"prefix {route.prefix!r} lacks a slash", route.name)
+    if not route.shares or any(share.weight < 0 for share in route.shares):
+        raise ConfigurationError("no service or a negative weight", route.name)
+    if sum(share.weight for share in route.shares) <= 0:
+        raise ConfigurationError("all weights are zero", route.name)
+    for share in route.shares:
+        if share.service not in services:
+            raise ConfigurationError(f"unknown service {share.service!r}", route.name)
+    if route.timeout <= 0 or route.objective <= 0:
+        raise ConfigurationError("a time is not positive", route.name)
+    if route.max_attempts < 1:
+        raise ConfigurationError("allows no attempt", route.name)
--- a/kumquatsaddle/settings/parsers.py
+++ b/kumquatsaddle/settings/parsers.py
@@ -126,6 +126,11 @@
     return parse_address(text)
 
 
+@parsers.register("optional_address")
+def _parse_optional_address(field, text):
+    return parse_address(text) if text.strip() else None
+
+
 @parsers.register("addresses")
 def _parse_addresses(field, text):
     return tuple(parse_address(part) for part in text.replace(",", " ").split())
--- /dev/null
+++ b/kumquatsaddle/sharing/__init__.py
@@ -0,0 +1,1 @@
+"""What the instances of a zone tell each other about backend servers and the store."""
--- /dev/null
+++ b/kumquatsaddle/sharing/messages.py
@@ -0,0 +1,218 @@
+"""Encodes and decodes the messages of `reports.capnp`."""
+
+from dataclasses import dataclass
+from pathlib import Path
+
+import capnp
+
+from kumquatsaddle.discovery.records import InstanceRecord
+from kumquatsaddle.exceptions import MessageError
+from kumquatsaddle.settings.parsers import parse_address
+from kumquatsaddle.types import BackendId, InstanceId, MessageRejection, ZoneId
+
+__all__ = [
+    "Fetch",
+    "Report",
+    "RowText",
+    "ServerLoad",
+    "Update",
+    "decode_fetch",
+    "decode_report",
+    "decode_update",
+    "encode_fetch",
+    "encode_report",
+    "encode_update",
+]
+
+capnp.remove_import_hook()
+_schema = capnp.load(str(Path(__file__).with_name("reports.capnp")))
+_WORD_BYTES = 8
+# Longest age in seconds that a report can tell.
+_LONGEST_AGE = 1e6
+
+
+@dataclass(frozen=True, slots=True)
+class ServerLoad:
+    """What one instance has seen of one backend server.
+
+    Parameters
+    ----------
+    server : BackendId
+    in_flight : int
+    served, failed : int
+        Answers since the instance knows the server.
+    """
+
+    server: BackendId
+    in_flight: int
+    served: int
+    failed: int
+
+
+@dataclass(frozen=True, slots=True)
+class Report:
+    """The content of a datagram; see `reports.capnp`."""
+
+    sender: InstanceRecord
+    incarnation: int
+    sequence: int
+    serving: bool
+    leaving: bool
+    routes_version: int
+    servers_version: int
+    read_age: float
+    loads: tuple[ServerLoad, ...]
+    wants_reply: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Fetch:
+    """Asks for what changed after two versions of the store."""
+
+    sender: InstanceId
+    routes_after: int
+    servers_after: int
+
+
+@dataclass(frozen=True, slots=True)
+class RowText:
+    """An entry of the list of backend servers as the platform encodes it."""
+
+    key: str
+    version: int
+    removed: bool
+    text: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Update:
+    """The answer to a `Fetch`."""
+
+    routes_version: int
+    routes: bytes
+    servers_version: int
+    rows: tuple[RowText, ...]
+    instances: tuple[InstanceRecord, ...]
+
+
+def encode_report(report):
+    """Return the bytes of a report."""
+    message = _schema.Report.new_message()
+    sender = report.sender
+    message.sender, message.zone = sender.name, sender.zone
+    message.callers, message.control = str(sender.callers), str(sender.control)
+    message.incarnation, message.sequence = report.incarnation, report.sequence
+    message.serving, message.leaving = report.serving, report.leaving
+    message.routesVersion = report.routes_version
+    message.serversVersion = report.servers_version
+    message.readAgeMs = int(min(report.read_age, _LONGEST_AGE) * 1000)
+    message.wantsReply = report.wants_reply
+    loads = message.init("loads", len(report.loads))
+    for target, load in zip(loads, report.loads, strict=True):
+        target.server, target.inFlight = load.server, load.in_flight
+        target.served, target.failed = load.served, load.failed
+    return message.to_bytes()
+
+
+def decode_report(data):
+    """Return the report in a datagram.
+
+    Raises
+    ------
+    MessageError
+    """
+    return _decode(_schema.Report, data, _read_report)
+
+
+def encode_fetch(fetch):
+    """Return the bytes of a fetch."""
+    message = _schema.Fetch.new_message()
+    message.sender = fetch.sender
+    message.routesAfter = fetch.routes_after
+    message.serversAfter = fetch.servers_after
+    return message.to_bytes()
+
+
+def decode_fetch(data):
+    """Return the fetch in a frame; raise `MessageError` if it is none."""
+    return _decode(
+        _schema.Fetch,
+        data,
+        lambda item: Fetch(item.sender, item.routesAfter, item.serversAfter),
+    )
+
+
+def encode_update(update):
+    """Return the bytes of an update."""
+    message = _schema.Update.new_message()
+    message.routesVersion, message.routes = update.routes_version, update.routes
+    message.serversVersion = update.servers_version
+    rows = message.init("rows", len(update.rows))
+    for target, row in zip(rows, update.rows, strict=True):
+        target.key, target.version = row.key, row.version
+        target.removed, target.text = row.removed, row.text
+    instances = message.init("instances", len(update.instances))
+    for target, item in zip(instances, update.instances, strict=True):
+        target.name, target.zone = item.name, item.zone
+        target.callers, target.control = str(item.callers), str(item.control)
+    return message.to_bytes()
+
+
+def decode_update(data):
+    """Return the update in a frame; raise `MessageError` if it is none."""
+    return _decode(_schema.Update, data, _read_update)
+
+
+def _decode(kind, data, read):
+    if len(data) % _WORD_BYTES or not data:
+        raise MessageError(MessageRejection.TRUNCATED.value)
+    try:
+        with kind.from_bytes(data) as message:
+            return read(message)
+    except (capnp.KjException, ValueError, UnicodeDecodeError) as error:
+        raise MessageError(f"{MessageRejection.MALFORMED.value}: {error}") from None
+
+
+def _read_report(message):
+    return Report(
+        sender=InstanceRecord(
+            InstanceId(message.sender),
+            ZoneId(message.zone),
+            parse_address(message.callers),
+            parse_address(message.control),
+        ),
+        incarnation=message.incarnation,
+        sequence=message.sequence,
+        serving=message.serving,
+        leaving=message.leaving,
+        routes_version=message.routesVersion,
+        servers_version=message.serversVersion,
+        read_age=message.readAgeMs / 1000,
+        loads=tuple(
+            ServerLoad(load.server, load.inFlight, load.served, load.failed)
+            for load in message.loads
+        ),
+        wants_reply=message.wantsReply,
+    )
+
+
+def _read_update(message):
+    return Update(
+        routes_version=message.routesVersion,
+        routes=bytes(message.routes),
+        servers_version=message.serversVersion,
+        rows=tuple(
+            RowText(row.key, row.version, row.removed, bytes(row.text))
+            for row in message.rows
+        ),
+        instances=tuple(_read_instance(item) for item in message.instances),
+    )
+
+
+def _read_instance(message):
+    return InstanceRecord(
+        InstanceId(message.name),
+        ZoneId(message.zone),
+        parse_address(message.callers),
+        parse_address(message.control),
+    )
--- /dev/null
+++ b/kumquatsaddle/sharing/peers.py
@@ -0,0 +1,122 @@
+"""The other instances of the zone, as their reports describe them."""
+
+from kumquatsaddle.logs import log_event
+
+__all__ = ["Peer", "PeerTable"]
+
+# Time in seconds without a report after which a peer counts as gone, and after which
+# it is forgotten.
+ALIVE_TIME = 1.3
+_FORGET_TIME = 60.0
+# Former incarnations of a peer whose late datagrams are dropped.
+_MOST_FORMER = 8
+
+
+class Peer:
+    """One other instance.
+
+    Attributes
+    ----------
+    record : InstanceRecord
+    report : Report or None
+        The latest one.
+    heard : float
+        When it came, on the clock of trio in seconds.
+    counts : dict of BackendId to (int, int)
+        Answers served and failed that it has told.
+    """
+
+    def __init__(self, record, now):
+        self.record = record
+        self.report = None
+        self.heard = now - ALIVE_TIME
+        self.added = now
+        self.alive = False
+        self.counts = {}
+        self.former = []
+
+    def measure_read_age(self, now):
+        """Return how long ago the store has answered the peer, in seconds."""
+        if self.report is None:
+            return float("inf")
+        return self.report.read_age + now - self.heard
+
+
+class PeerTable:
+    """The other instances of the zone.
+
+    Parameters
+    ----------
+    own : InstanceRecord
+    """
+
+    def __init__(self, own):
+        self.own = own
+        self.peers = {}
+        self.instances = {own.name: own}
+
+    def add_instance(self, record, now):
+        """Note an instance of any zone; return whether it is a new peer."""
+        if record.name == self.own.name:
+            return False
+        self.instances[record.name] = record
+        if record.zone != self.own.zone:
+            return False
+        peer = self.peers.get(record.name)
+        if peer is None:
+            self.peers[record.name] = Peer(record, now)
+            return True
+        if peer.record != record and not peer.alive:
+            peer.record = record
+        return False
+
+    def note_report(self, report, now):
+        """Take over a report; return its peer, or None if it is of no use."""
+        if report.sender.name == self.own.name:
+            return None
+        self.add_instance(report.sender, now)
+        peer = self.peers.get(report.sender.name)
+        if peer is None or report.incarnation in peer.former:
+            return None
+        known = peer.report
+        if known is not None and known.incarnation == report.incarnation:
+            if report.sequence <= known.sequence:
+                return None
+        elif known is not None:
+            peer.former = [*peer.former[-_MOST_FORMER:], known.incarnation]
+            peer.counts = {}
+        peer.record, peer.report, peer.heard = report.sender, report, now
+        if not peer.alive:
+            peer.alive = True
+            log_event("instance_heard", instance=peer.record.name)
+        return peer
+
+    def expire(self, now):
+        """Return the peers that have just fallen silent."""
+        silent = []
+        for name, peer in list(self.peers.items()):
+            if peer.alive and now - peer.heard > ALIVE_TIME:
+                peer.alive = False
+                silent.append(peer)
+                age = round(now - peer.heard, 2)
+                log_event("instance_silent", instance=name, age=age)
+            elif now - max(peer.heard, peer.added) > _FORGET_TIME:
+                del self.peers[name]
+                self.instances.pop(name, None)
+        return silent
+
+    def list_alive(self):
+        """Return the peers that report, in the order of their names."""
+        alive = [peer for peer in self.peers.values() if peer.alive]
+        return sorted(alive, key=lambda peer: peer.record.name)
+
+    def list_serving(self, is_serving):
+        """Return the `InstanceRecord` of the instances that callers may use.
+
+        Parameters
+        ----------
+        is_serving : bool
+            Whether this instance is one of them.
+        """
+        serving = [peer.record for peer in self.list_alive() if peer.report.serving]
+        return [self.own, *serving] if is_serving else serving
--- /dev/null
+++ b/kumquatsaddle/sharing/reports.capnp
@@ -0,0 +1,57 @@
+@0x9d2f7c1be04a6385;
+
+# Messages between the instances of a zone that dispatch by themselves.
+
+# A datagram: what its sender has in flight, what it saw, and how recent its view is.
+struct Report {
+  sender @0 :Text;           # instance id
+  zone @1 :Text;
+  incarnation @2 :UInt64;    # random, new with each start
+  sequence @3 :UInt32;       # grows with each report of an incarnation
+  callers @4 :Text;          # host:port
+  control @5 :Text;          # host:port
+  serving @6 :Bool;          # whether callers may be sent there
+  leaving @7 :Bool;
+  routesVersion @8 :UInt64;  # store version of the routes in force
+  serversVersion @9 :UInt64; # store version of the newest known entry
+  readAgeMs @10 :UInt32;     # time since the store answered the sender
+  loads @11 :List(ServerLoad);
+  wantsReply @12 :Bool;      # the sender does not know the recipient's load yet
+}
+
+struct ServerLoad {
+  server @0 :Text;
+  inFlight @1 :UInt16;
+  served @2 :UInt32;         # since the sender knows the server
+  failed @3 :UInt32;
+}
+
+# A frame: asks for what changed after two versions.
+struct Fetch {
+  sender @0 :Text;
+  routesAfter @1 :UInt64;
+  serversAfter @2 :UInt64;
+}
+
+# A frame: the answer.
+struct Update {
+  routesVersion @0 :UInt64;
+  routes @1 :Data;           # as the platform encodes them; empty if not newer
+  serversVersion @2 :UInt64;
+  rows @3 :List(Row);
+  instances @4 :List(Instance);
+}
+
+struct Row {
+  key @0 :Text;
+  version @1 :UInt64;
+  removed @2 :Bool;
+  text @3 :Data;
+}
+
+struct Instance {
+  name @0 :Text;
+  zone @1 :Text;
+  callers @2 :Text;
+  control @3 :Text;
+}
--- a/kumquatsaddle/platform/__init__.py
+++ b/kumquatsaddle/storage/__init__.py
@@ -3,8 +3,8 @@
 One narrow interface, `Platform`, with implementations in the registry `platforms`.
 """
 
-from kumquatsaddle.platform.http import make_http_platform
-from kumquatsaddle.platform.interface import (
+from kumquatsaddle.storage.http import make_http_platform
+from kumquatsaddle.storage.interface import (
     InstanceList,
     ListedInstance,
     Platform,
@@ -13,7 +13,7 @@
     parse_instances,
     platforms,
 )
-from kumquatsaddle.platform.memory import MemoryPlatform, make_memory_platform
+from kumquatsaddle.storage.memory import MemoryPlatform, make_memory_platform
 
 __all__ = [
     "InstanceList",
--- a/kumquatsaddle/platform/http.py
+++ b/kumquatsaddle/storage/http.py
@@ -20,7 +20,7 @@
 import trio
 
 from kumquatsaddle.exceptions import ConflictError, PlatformUnavailableError
-from kumquatsaddle.platform.interface import (
+from kumquatsaddle.storage.interface import (
     InstanceList,
     Row,
     parse_instances,
--- a/kumquatsaddle/platform/memory.py
+++ b/kumquatsaddle/storage/memory.py
@@ -4,7 +4,7 @@
 import time
 
 from kumquatsaddle.exceptions import ConflictError
-from kumquatsaddle.platform.interface import (
+from kumquatsaddle.storage.interface import (
     InstanceList,
     ListedInstance,
     Row,
--- a/kumquatsaddle/platform/tests/steps/platform.py
+++ b/kumquatsaddle/storage/tests/steps/platform.py
@@ -14,9 +14,9 @@
     ConflictError,
     PlatformUnavailableError,
 )
-from kumquatsaddle.platform.http import HttpPlatform
-from kumquatsaddle.platform.interface import ListedInstance, parse_instances
-from kumquatsaddle.platform.memory import MemoryPlatform
+from kumquatsaddle.storage.http import HttpPlatform
+from kumquatsaddle.storage.interface import ListedInstance, parse_instances
+from kumquatsaddle.storage.memory import MemoryPlatform
 from kumquatsaddle.testing.runs import expect, in_trio
 from standins.http import Reply, serve_http
 from standins.platform import PlatformStandin
--- a/kumquatsaddle/testing/configuration.py
+++ b/kumquatsaddle/testing/configuration.py
@@ -9,7 +9,7 @@
 from kumquatsaddle.dispatch.peers import PeerError
 from kumquatsaddle.exceptions import PlatformUnavailableError
 from kumquatsaddle.metrics import make_metrics
-from kumquatsaddle.platform.memory import MemoryPlatform
+from kumquatsaddle.storage.memory import MemoryPlatform
 
 __all__ = ["FakeNetwork", "FakeNode", "FaultyPlatform"]
 
--- a/kumquatsaddle/testing/fleet.py
+++ b/kumquatsaddle/testing/fleet.py
@@ -17,8 +17,8 @@
 from kumquatsaddle.configuration.changes import commit_change
 from kumquatsaddle.dispatch.connections import open_connection
 from kumquatsaddle.lifecycle.node import make_node
-from kumquatsaddle.platform.interface import ListedInstance
 from kumquatsaddle.settings.parsers import Address
+from kumquatsaddle.storage.interface import ListedInstance
 from kumquatsaddle.testing.cuts import Cuts
 from kumquatsaddle.testing.platforms import FaultyPlatform
 from kumquatsaddle.testing.settings import make_settings
--- a/kumquatsaddle/testing/platforms.py
+++ b/kumquatsaddle/testing/platforms.py
@@ -5,7 +5,7 @@
 import trio
 
 from kumquatsaddle.exceptions import PlatformUnavailableError
-from kumquatsaddle.platform.memory import MemoryPlatform
+from kumquatsaddle.storage.memory import MemoryPlatform
 
 __all__ = ["FaultyPlatform", "copy_store"]
 
--- a/kumquatsaddle/testing/processes.py
+++ b/kumquatsaddle/testing/processes.py
@@ -10,7 +10,7 @@
 
 from demo.fleet import Fleet, call_http
 from kumquatsaddle.configuration.changes import commit_change
-from kumquatsaddle.platform.http import HttpPlatform
+from kumquatsaddle.storage.http import HttpPlatform
 from kumquatsaddle.testing.fleet import ROUTES
 
 __all__ = ["ProcessFleet", "open_processes"]
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -3,7 +3,7 @@
 Usage:
   standins.platform --listen=ADDRESS
 
-The interface is that of `kumquatsaddle.platform.http`. Faults are set by
+The interface is that of `kumquatsaddle.storage.http`. Faults are set by
 ``PUT /.faults`` with a JSON object:
 
 - ``down``: true refuses every call;
@@ -24,9 +24,9 @@
 from docopt import docopt
 
 from kumquatsaddle.exceptions import ConflictError
-from kumquatsaddle.platform.interface import ListedInstance
-from kumquatsaddle.platform.memory import MemoryPlatform
 from kumquatsaddle.settings.parsers import parse_address
+from kumquatsaddle.storage.interface import ListedInstance
+from kumquatsaddle.storage.memory import MemoryPlatform
 from standins.http import Reply, reply_json, serve_http
 
 __all__ = ["PlatformStandin", "main"]
