Judge backend servers by a filter over sick states, shared between zones

Cause: failures were lost on the way to other instances, successes of requests that started before a failure undid it, other zones learned nothing, and servers that joined got no request. Failures at once are told apart from failures that took time.

--- a/kumquatsaddle/balance/baseline.py
+++ b/kumquatsaddle/balance/baseline.py
@@ -1,4 +1,4 @@
-"""The usual time of the answers of each route."""
+"""The usual time and size of the answers of each route."""
 
 __all__ = ["RouteTimes"]
 
@@ -7,13 +7,16 @@
 # Time in seconds that is assumed for a route without answers, at most.
 _FIRST_GUESS = 0.5
 _SHORTEST = 0.01
+# Size in bytes that is assumed for a route without answers.
+_FIRST_SIZE = 3000
 
 
 class RouteTimes:
-    """Moving averages of the time of good answers, by route."""
+    """Moving averages of the time and size of good answers, by route."""
 
     def __init__(self):
         self._means = {}
+        self._sizes = {}
 
     def measure(self, route):
         """Return the usual time of an answer of a route in seconds."""
@@ -28,3 +31,12 @@
         else:
             # Bounded, so that one slow answer does not move the average far.
             self._means[route.name] += _WEIGHT * (min(seconds, 4 * mean) - mean)
+
+    def measure_size(self, route):
+        """Return the usual size of an answer of a route in bytes."""
+        return self._sizes.get(route.name, _FIRST_SIZE)
+
+    def note_size(self, route, size):
+        """Add the size of a good answer."""
+        mean = self._sizes.get(route.name, size)
+        self._sizes[route.name] = mean + _WEIGHT * (size - mean)
--- a/kumquatsaddle/balance/beliefs.py
+++ b/kumquatsaddle/balance/beliefs.py
@@ -1,10 +1,11 @@
 """The chance that a backend server fails its next request.
 
-A server is sound or sick and changes between the two at random times: a hidden Markov
-model with two states. Sound servers fail a small share of their requests, sick ones
-most of them. The filter carries the probability that the server is sick from one
-observation to the next [1]_. Without observations it returns to the share of time
-that servers are sick, so an old failure counts for less and less.
+A server is sound, or sick in one of several ways, and changes between the states at
+random times: a hidden Markov model [1]_. Each state has its own share of served
+requests, of failures at once and of failures that took time. The filter carries the
+probabilities of the states from one observation to the next; without observations
+they return to the shares of time that servers spend in each state, so an old failure
+counts for less and less.
 
 References
 ----------
@@ -13,17 +14,29 @@
 """
 
 from dataclasses import dataclass
+from enum import Enum
 from math import exp
 
-__all__ = ["DEFAULT_RATES", "Belief", "FailureRates"]
+__all__ = ["SICK_STATES", "Belief", "Observation", "SickState"]
 
-# Bounds of the probability; no observation makes it certain.
-_LOWEST, _HIGHEST = 0.001, 0.999
+# Bounds of the probability of a sick state; no observation makes it certain.
+_LOWEST, _HIGHEST = 0.0005, 0.9995
+
+
+class Observation(Enum):
+    """What one request shows of the state of its server."""
+
+    SERVED = "served"
+    # The request has run for a while and has not failed at once.
+    STARTED = "started"
+    # Failed in a small part of the usual time.
+    FAILED_FAST = "failed_fast"
+    FAILED_SLOWLY = "failed_slowly"
 
 
 @dataclass(frozen=True, slots=True)
-class FailureRates:
-    """Parameters of the model.
+class SickState:
+    """One way in which servers are sick.
 
     Parameters
     ----------
@@ -31,64 +44,121 @@
         Rate at which a sound server becomes sick, per second.
     recovery : float
         Rate at which a sick server becomes sound, per second.
-    sound_failures, sick_failures : float
-        Share of requests that a sound and a sick server fail.
+    shares : dict of Observation to float
+        Share of the requests of such a server that show the observation.
     """
 
     onset: float
     recovery: float
-    sound_failures: float
-    sick_failures: float
+    shares: dict[Observation, float]
 
     @property
-    def share_sick(self):
-        """Share of time that a server is sick."""
+    def prevalence(self):
+        """Share of time that a server spends in the state."""
         return self.onset / (self.onset + self.recovery)
 
-
-DEFAULT_RATES = FailureRates(
-    onset=0.02, recovery=0.14, sound_failures=0.012, sick_failures=0.8
+    @property
+    def failures(self):
+        """Share of its requests that a server in the state fails."""
+        return 1.0 - self.shares[Observation.SERVED]
+
+
+_SOUND_SHARES = {
+    Observation.SERVED: 0.985,
+    Observation.STARTED: 0.997,
+    Observation.FAILED_FAST: 0.003,
+    Observation.FAILED_SLOWLY: 0.012,
+}
+_SOUND_FAILURES = 1.0 - _SOUND_SHARES[Observation.SERVED]
+
+SICK_STATES = (
+    # Refuses or resets most requests at once.
+    SickState(
+        onset=0.02,
+        recovery=0.14,
+        shares={
+            Observation.SERVED: 0.2,
+            Observation.STARTED: 0.25,
+            Observation.FAILED_FAST: 0.77,
+            Observation.FAILED_SLOWLY: 0.03,
+        },
+    ),
+    # Runs requests and loses a part of the answers.
+    SickState(
+        onset=0.003,
+        recovery=0.2,
+        shares={
+            Observation.SERVED: 0.6,
+            Observation.STARTED: 0.97,
+            Observation.FAILED_FAST: 0.03,
+            Observation.FAILED_SLOWLY: 0.37,
+        },
+    ),
 )
 
 
 class Belief:
-    """Probability that one server is sick.
+    """Probabilities of the states of one server.
 
     Parameters
     ----------
     now : float
         Time in seconds on any steady clock.
-    rates : FailureRates, optional
+    prior : float, default=1.0
+        Relative to the usual prevalence of the sick states.
     """
 
-    __slots__ = ("rates", "_sick", "_updated")
+    __slots__ = ("_sick", "_updated")
 
-    def __init__(self, now, rates=DEFAULT_RATES):
-        self.rates = rates
-        self._sick = rates.share_sick
+    def __init__(self, now, prior=1.0):
+        self._sick = [state.prevalence * prior for state in SICK_STATES]
         self._updated = now
 
+    def measure_states(self, now):
+        """Return the probability of each sick state at a time."""
+        elapsed = max(0.0, now - self._updated)
+        if not elapsed:
+            return self._sick
+        predicted = []
+        for state, sick in zip(SICK_STATES, self._sick, strict=True):
+            kept = exp(-(state.onset + state.recovery) * elapsed)
+            predicted.append(state.prevalence + (sick - state.prevalence) * kept)
+        return predicted
+
     def measure_sick(self, now):
         """Return the probability that the server is sick at a time."""
-        rates = self.rates
-        elapsed = max(0.0, now - self._updated)
-        mean = rates.share_sick
-        kept = exp(-(rates.onset + rates.recovery) * elapsed)
-        return mean + (self._sick - mean) * kept
-
-    def measure_failure(self, now):
-        """Return the probability that the server fails a request at a time."""
-        sick, rates = self.measure_sick(now), self.rates
-        return sick * rates.sick_failures + (1 - sick) * rates.sound_failures
-
-    def note_answer(self, now, failed):
-        """Add the observation of one answer."""
-        rates, sick = self.rates, self.measure_sick(now)
-        if failed:
-            if_sick, if_sound = rates.sick_failures, rates.sound_failures
-        else:
-            if_sick, if_sound = 1 - rates.sick_failures, 1 - rates.sound_failures
-        weight = sick * if_sick
-        sick = weight / (weight + (1 - sick) * if_sound)
-        self._sick = min(_HIGHEST, max(_LOWEST, sick))
+        return sum(self.measure_states(now))
+
+    def measure_failure(self, now, started=0):
+        """Return the probability that the server fails a request at a time.
+
+        Parameters
+        ----------
+        now : float
+        started : int, default=0
+            Requests in flight that have not failed at once; they count as
+            observations until their answers come.
+        """
+        sick = self.measure_states(now)
+        for _ in range(min(started, 2)):
+            sick = _weigh(sick, Observation.STARTED)
+        failure = _SOUND_FAILURES * max(0.0, 1.0 - sum(sick))
+        for state, probability in zip(SICK_STATES, sick, strict=True):
+            failure += state.failures * probability
+        return failure
+
+    def observe(self, now, observation):
+        """Add the observation of one request."""
+        self._sick = _weigh(self.measure_states(now), observation)
         self._updated = max(now, self._updated)
+
+
+def _weigh(sick, observation):
+    """Return the probabilities of the sick states after an observation."""
+    weights = [
+        probability * state.shares[observation]
+        for state, probability in zip(SICK_STATES, sick, strict=True)
+    ]
+    sound = max(_LOWEST, 1.0 - sum(sick)) * _SOUND_SHARES[observation]
+    total = sum(weights) + sound
+    return [min(_HIGHEST, max(_LOWEST, weight / total)) for weight in weights]
--- a/kumquatsaddle/balance/choice.py
+++ b/kumquatsaddle/balance/choice.py
@@ -19,12 +19,17 @@
     ----------
     load : float
         Of a server whose slots are all taken.
-    other_zone : float
-        Of a server in another zone.
+    other_zone, other_zone_kilobyte : float
+        Of a server in another zone, and of each kilobyte that crosses zones.
     slow : float
         For each multiple of the usual time above the first.
     cold : float
         Of a server that has just started.
+    untried : float
+        Of a server that was added and has had no request yet. It is negative, so
+        that each new server is tried soon.
+    repeatable : float
+        Factor on the chance of a failure of a request that may be sent again.
     most_acceptable : float
         Cost above which a request rather waits, at first.
     patience : float
@@ -32,9 +37,12 @@
     """
 
     load: float = 0.05
-    other_zone: float = 0.25
+    other_zone: float = 0.03
+    other_zone_kilobyte: float = 0.018
     slow: float = 0.15
     cold: float = 0.1
+    untried: float = -0.2
+    repeatable: float = 0.4
     most_acceptable: float = 0.5
     patience: float = 0.5
 
@@ -47,13 +55,17 @@
 def measure_cost(server, request, now, zone, weights=CHOICE_WEIGHTS):
     """Return the cost of sending a request to a server."""
     record = server.record
-    cost = server.belief.measure_failure(now)
+    cost = server.belief.measure_failure(now, server.count_started(now))
+    if request.idempotent and request.attempts_left:
+        cost *= weights.repeatable
     cost += weights.load * server.load / record.slots
     cost += weights.slow * max(0.0, server.measure_pace(now) - 1.5)
     if record.zone != zone:
-        cost += weights.other_zone
+        cost += weights.other_zone + weights.other_zone_kilobyte * request.kilobytes
     if now < server.cold_until:
         cost += weights.cold
+    elif server.untried:
+        cost += weights.untried
     return cost
 
 
--- a/kumquatsaddle/balance/dispatcher.py
+++ b/kumquatsaddle/balance/dispatcher.py
@@ -30,6 +30,9 @@
 # Times the usual time after which a repeatable request is tried elsewhere.
 _LATE_FACTOR = 3.0
 _MISDIRECTED = 421
+_GATEWAY_TIMEOUT = 504
+# Time in seconds before a deadline in which a server's 504 is due to it.
+_DEADLINE_MARGIN = 0.1
 
 
 class Verdict(Enum):
@@ -45,6 +48,8 @@
     # No byte was written.
     UNREACHABLE = "unreachable"
     LATE = "late"
+    # The server gave up at the deadline that it was told.
+    TIMED_OUT = "timed_out"
 
 
 _NOT_RUN = (Verdict.SHED, Verdict.MISDIRECTED, Verdict.UNREACHABLE)
@@ -55,6 +60,7 @@
     Verdict.MISDIRECTED: RetryReason.ANSWER_MISMATCH,
     Verdict.UNREACHABLE: RetryReason.CONNECT_FAILED,
     Verdict.LATE: RetryReason.ANSWER_LATE,
+    Verdict.TIMED_OUT: RetryReason.ANSWER_LATE,
 }
 
 
@@ -89,7 +95,7 @@
     on_load : callable
         Called with a server when its load at this instance changes.
     on_answer : callable
-        Called with a server and whether it failed when it has answered.
+        Called with a server and the `Observation` of an answer, or None.
     """
 
     def __init__(self, zone, protocol, terms, metrics, max_answer):
@@ -100,7 +106,7 @@
         self.max_answer = max_answer
         self.times = RouteTimes()
         self.on_load = lambda server: None
-        self.on_answer = lambda server, failed: None
+        self.on_answer = lambda server, observation: None
         self._zone = zone
 
     async def update_servers(self, records):
@@ -144,12 +150,15 @@
         """
         pool = self._find_pool(request.service)
         pool.budget.add_request()
+        size = len(request.body) + self.times.measure_size(request.route)
+        request.kilobytes = size / 1000
         trail, answer, verdict = [], None, None
         excluded, sent = frozenset(), 0
         while sent < request.route.max_attempts:
             if verdict is not None and not self._may_repeat(pool, request, verdict):
                 break
-            server = await self._take_server(pool, request, excluded, verdict)
+            request.attempts_left = request.route.max_attempts - sent - 1
+            server = await self._take_server(pool, request, excluded)
             if server is None:
                 if answer is None:
                     answer = Answer.refuse(RefusalReason.NO_BACKEND)
@@ -188,7 +197,7 @@
         self.metrics.count("retries_denied", reason=_RETRY_REASONS[verdict].value)
         return False
 
-    async def _take_server(self, pool, request, excluded, verdict):
+    async def _take_server(self, pool, request, excluded):
         expected = self.times.measure(request.route)
         until = request.deadline - _START_SHARE * expected
         return await pool.take_server(request, excluded, until)
@@ -209,7 +218,7 @@
                 f"{server.name}:{verdict}:{elapsed * 1000:.0f}ms"
                 f":sick={sick:.2f}:load={load}"
             )
-        self._judge(pool, server, request, attempt, trio.current_time() - started)
+        self._judge(pool, server, request, attempt, started)
         return attempt
 
     async def _exchange(self, server, request, started):
@@ -248,9 +257,9 @@
         if raw is None:
             reason = RefusalReason.ANSWER_LATE if written else RefusalReason.NO_BACKEND
             return Attempt(Verdict.LATE, Answer.refuse(reason))
-        return self._read_answer(raw)
+        return self._read_answer(request, raw)
 
-    def _read_answer(self, raw):
+    def _read_answer(self, request, raw):
         protocol = self.protocol
         if raw.status == _MISDIRECTED:
             refusal = Answer.refuse(RefusalReason.BACKEND_UNREACHABLE)
@@ -263,30 +272,33 @@
             lost = Answer.refuse(RefusalReason.ANSWER_MISMATCH)
             return Attempt(Verdict.LOST, lost)
         answer = Answer(Outcome.DONE, raw.status, tuple(raw.headers), raw.body)
-        failed = raw.status >= 500
-        return Attempt(Verdict.FAILED if failed else Verdict.SERVED, answer)
-
-    def _judge(self, pool, server, request, attempt, elapsed):
+        if raw.status < 500:
+            return Attempt(Verdict.SERVED, answer)
+        left = request.deadline - trio.current_time()
+        if raw.status == _GATEWAY_TIMEOUT and left < _DEADLINE_MARGIN:
+            return Attempt(Verdict.TIMED_OUT, answer)
+        return Attempt(Verdict.FAILED, answer)
+
+    def _judge(self, pool, server, request, attempt, started):
         """Add what an attempt says to the evidence on the server."""
         now, verdict = trio.current_time(), attempt.verdict
+        expected = self.times.measure(request.route)
         if verdict is Verdict.UNREACHABLE:
             server.note_unreachable(now)
         elif verdict is Verdict.SHED:
             server.note_full(now, _FULL_PAUSE)
         elif verdict is Verdict.MISDIRECTED:
             server.gone = True
-        elif verdict is Verdict.LATE:
-            server.note_pace(now, elapsed / self.times.measure(request.route))
+        elif verdict in (Verdict.LATE, Verdict.TIMED_OUT):
+            server.note_pace(now, (now - started) / expected)
         else:
             failed = verdict is not Verdict.SERVED
-            server.belief.note_answer(now, failed)
-            if failed:
-                server.failed += 1
-            else:
-                server.served += 1
-                server.note_pace(now, elapsed / self.times.measure(request.route))
-                self.times.note_answer(request.route, elapsed)
-            self.on_answer(server, failed)
+            observation = server.observe_answer(now, started, expected, failed)
+            if not failed:
+                server.note_pace(now, (now - started) / expected)
+                self.times.note_answer(request.route, now - started)
+                self.times.note_size(request.route, len(attempt.answer.body))
+            self.on_answer(server, observation)
             pool.wake()
 
     def _make_headers(self, server, request):
--- a/kumquatsaddle/balance/pool.py
+++ b/kumquatsaddle/balance/pool.py
@@ -51,7 +51,7 @@
         records : dict of BackendId to ServerRecord
         """
         now = trio.current_time()
-        gone = []
+        gone, is_first = [], not self.servers
         for name, server in list(self.servers.items()):
             record = records.get(name)
             if record is None or _is_another(record, server.record):
@@ -59,7 +59,9 @@
         for name, record in records.items():
             server = self.servers.get(name)
             if server is None:
-                self.servers[name] = BalancedServer(record, self._protocol, now)
+                self.servers[name] = BalancedServer(
+                    record, self._protocol, now, is_new=not is_first
+                )
             elif record != server.record:
                 server.update(record, now)
         self.wake()
--- a/kumquatsaddle/balance/requests.py
+++ b/kumquatsaddle/balance/requests.py
@@ -27,6 +27,10 @@
     deadline : float
         When its final answer is due, on the same clock: the earlier of the caller's
         deadline and the timeout of the route.
+    attempts_left : int
+        Further attempts if the next one fails.
+    kilobytes : float
+        Usual size of the request and its answer together.
     """
 
     request_id: bytes
@@ -38,6 +42,8 @@
     service: ServiceName
     arrived: float
     deadline: float
+    attempts_left: int = 1
+    kilobytes: float = 0.0
 
     @property
     def idempotent(self):
--- a/kumquatsaddle/balance/servers.py
+++ b/kumquatsaddle/balance/servers.py
@@ -2,13 +2,13 @@
 
 import trio
 
-from kumquatsaddle.balance.beliefs import Belief
+from kumquatsaddle.balance.beliefs import Belief, Observation
 from kumquatsaddle.dispatch.connections import open_connection
 
 __all__ = ["BalancedServer"]
 
 # Time in seconds for a connection to open; it usually takes 1 ms.
-_CONNECT_TIMEOUT = 0.6
+_CONNECT_TIMEOUT = 0.25
 # Idle connections kept to one server.
 _MOST_IDLE = 8
 # Time in seconds that an idle connection is used, and for a request that must not
@@ -21,6 +21,12 @@
 _PACE_WEIGHT = 0.2
 # Time in seconds after which a slow answer counts half.
 _PACE_HALF_LIFE = 4.0
+# Share of the usual time of an answer within which a failure counts as one at once,
+# and the longest such time in seconds.
+_FAST_SHARE = 0.2
+_LONGEST_FAST = 0.06
+# Chance of being sick of a server that has just started, relative to the usual one.
+_NEW_PRIOR = 0.3
 # Times in seconds that a server is avoided after a failed connection.
 _UNREACHABLE_PAUSES = (0.5, 1.0, 2.0, 4.0)
 
@@ -34,26 +40,36 @@
     protocol : BackendProtocol
     now : float
         On the clock of trio, in seconds.
+    is_new : bool, default=False
+        Whether it was added to a list that was known before.
 
     Attributes
     ----------
     own_load : int
         Requests of this instance that are in flight.
-    served, failed : int
-        Answers that this instance has seen since it knows the server.
+    counts : dict of Observation to int
+        What this instance has observed since it knows the server.
+    untried : bool
+        Whether no instance is known to have sent it a request.
     """
 
-    def __init__(self, record, protocol, now):
+    def __init__(self, record, protocol, now, is_new=False):
         self.record = record
         self.protocol = protocol
-        self.belief = Belief(now)
+        self.belief = Belief(now, _NEW_PRIOR if is_new else 1.0)
         self.own_load = 0
-        self.served = 0
-        self.failed = 0
+        self.counts = {
+            Observation.SERVED: 0,
+            Observation.FAILED_FAST: 0,
+            Observation.FAILED_SLOWLY: 0,
+        }
+        self.untried = is_new
         self.gone = False
+        self._failed_at = float("-inf")
         self.cold_until = now + record.cold
         self.last_chosen = 0
         self._peer_loads = {}
+        self._peer_started = {}
         self._peer_total = 0
         self._idle = []
         self._started = {}
@@ -78,21 +94,39 @@
         self.record = record
         self.cold_until = now + record.cold
 
-    def set_peer_load(self, instance, load):
-        """Note what another instance has in flight."""
+    def set_peer_load(self, instance, load, started=0):
+        """Note what another instance has in flight; return whether it changed.
+
+        Parameters
+        ----------
+        instance : str
+        load : int
+        started : int, default=0
+            Of these, the requests that have not failed at once.
+        """
+        if started:
+            self._peer_started[instance] = started
+        else:
+            self._peer_started.pop(instance, None)
         known = self._peer_loads.get(instance, 0)
         if load == known:
             return False
         if load:
+            self.untried = False
             self._peer_loads[instance] = load
         else:
             del self._peer_loads[instance]
         self._peer_total += load - known
         return True
 
+    def read_peer_load(self, instance):
+        """Return what another instance has in flight."""
+        return self._peer_loads.get(instance, 0)
+
     def begin(self, key, now, expected):
         """Note that a request starts; `expected` is its usual time in seconds."""
         self.own_load += 1
+        self.untried = False
         self._started[key] = (now, expected)
 
     def end(self, key):
@@ -100,6 +134,56 @@
         self.own_load -= 1
         self._started.pop(key, None)
 
+    def count_started(self, now):
+        """Return how many requests in flight anywhere have not failed at once."""
+        return self.count_own_started(now) + sum(self._peer_started.values())
+
+    def count_own_started(self, now):
+        """Return how many requests in flight here have not failed at once.
+
+        Those that started before the last failure say nothing of the time after it.
+        """
+        return sum(
+            started > self._failed_at and now - started > _measure_fast(expected)
+            for started, expected in self._started.values()
+        )
+
+    def observe_answer(self, now, started, expected, failed):
+        """Add an answer to a request of this instance to the evidence.
+
+        Parameters
+        ----------
+        now, started : float
+            On the clock of trio, in seconds.
+        expected : float
+            Usual time of the answer, in seconds.
+        failed : bool
+
+        Returns
+        -------
+        Observation or None
+            None if a failure after the start of the request says more.
+        """
+        if not failed:
+            if started < self._failed_at:
+                return None
+            observation = Observation.SERVED
+        elif now - started < _measure_fast(expected):
+            observation = Observation.FAILED_FAST
+        else:
+            observation = Observation.FAILED_SLOWLY
+        self.counts[observation] += 1
+        self.observe(now, observation)
+        return observation
+
+    def observe(self, now, observation):
+        """Add an observation, made here or by another instance, to the evidence."""
+        self.untried = False
+        if observation is Observation.FAILED_FAST:
+            self._failed_at = now
+            self._peer_started.clear()
+        self.belief.observe(now, observation)
+
     def note_pace(self, now, ratio):
         """Add an answer that took `ratio` times its usual time."""
         current = self.measure_pace(now)
@@ -166,3 +250,8 @@
         while self._idle:
             connection, _ = self._idle.pop()
             await connection.close()
+
+
+def _measure_fast(expected):
+    """Return the time in seconds within which a failure counts as one at once."""
+    return min(_LONGEST_FAST, _FAST_SHARE * expected)
--- a/kumquatsaddle/sharing/exchange.py
+++ b/kumquatsaddle/sharing/exchange.py
@@ -4,14 +4,17 @@
 answers, so that a lost one is made good by the next.
 """
 
+import math
 from secrets import randbits
 
 import trio
 
+from kumquatsaddle.balance.beliefs import Observation
 from kumquatsaddle.exceptions import MessageError
 from kumquatsaddle.logs import log_event
 from kumquatsaddle.messages.frames import FrameReader, write_frame
 from kumquatsaddle.sharing.messages import (
+    COUNTED,
     Fetch,
     Report,
     ServerLoad,
@@ -22,14 +25,19 @@
     encode_report,
     encode_update,
 )
+from kumquatsaddle.sharing.summaries import ZoneTotals, ZoneViews, choose_recipients
 
 __all__ = ["ZoneExchange", "make_zone_exchange"]
 
 # Time in seconds between reports when nothing happens.
 _HEARTBEAT = 0.4
-# Time in seconds in which changes of load are gathered into one report. A failed
-# answer is told at once.
-_GATHER_TIME = 0.012
+# Time in seconds in which changes of load are gathered into one report: while all
+# servers have room, and when one is short of it. A failure is told at once.
+_GATHER_TIME, _SHORT_GATHER_TIME = 0.15, 0.015
+# Share of the slots of a server in use at which it is short of room.
+_SHORT_SHARE = 0.6
+# Time in seconds between the summaries of a zone, and the shortest between urgent ones.
+_SUMMARY_INTERVAL, _URGENT_INTERVAL = 1.0, 0.03
 # Time in seconds for which a server is reported after its last change.
 _REPORTED_TIME = 2.0
 # Heartbeats between two reports to a peer that is silent.
@@ -40,9 +48,14 @@
 # Time in seconds for one frame to arrive.
 _FRAME_TIMEOUT = 1.0
 _FETCH_BYTES = 4096
-# Successes of one report that count as evidence on a server.
+# Observations of one kind in one report that count as evidence on a server.
 _MOST_COUNTED = 5
 _BACKLOG = 256
+# Chance of a failure from which the start of a request at a server is news, and the
+# time in seconds after which it is told: it has not failed at once then.
+_DOUBTFUL = 0.04
+_PROOF_TIME = 0.075
+_NOTHING = (0,) * len(COUNTED)
 
 
 class ZoneExchange:
@@ -67,7 +80,12 @@
         self._socket = None
         self._changed = trio.Event()
         self._urgent = False
+        self._short = False
+        self._proof_due = math.inf
         self._touched = {}
+        self._totals = ZoneTotals()
+        self._views = ZoneViews()
+        self._summary_due = trio.Event()
         self._rounds = 0
         dispatcher.on_load = self._note_load
         dispatcher.on_answer = self._note_answer
@@ -84,6 +102,7 @@
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._receive)
                 nursery.start_soon(trio.serve_listeners, self._serve_fetch, listeners)
+                nursery.start_soon(self._send_summaries)
                 task_status.started()
                 await self._send_all()
 
@@ -94,7 +113,8 @@
 
     async def introduce(self, addresses):
         """Send a report to addresses that are not known as peers."""
-        data = encode_report(self._make_report(wants_reply=True))
+        loads = self._list_loads(whole=True)
+        data = encode_report(self._make_report(loads, wants_reply=True))
         for address in addresses:
             await self._send(data, address)
 
@@ -119,37 +139,97 @@
             raise MessageError(f"{address}: no answer")
         return decode_update(data)
 
-    def forget_peer(self, peer):
-        """Drop the loads of a peer that has fallen silent."""
+    def _drop_loads(self, key):
+        """Drop the loads of a peer or zone that has fallen silent."""
         for server in self._dispatcher.list_servers():
-            server.set_peer_load(peer.record.name, 0)
+            server.set_peer_load(key, 0)
         self._wake_all()
 
     def _note_load(self, server):
-        self._touched[server.name] = trio.current_time()
+        now = trio.current_time()
+        self._touched[server.name] = now
+        if server.own_load and server.belief.measure_failure(now) > _DOUBTFUL:
+            self._proof_due = min(self._proof_due, now + _PROOF_TIME)
+        if server.load >= _SHORT_SHARE * server.record.slots:
+            self._short = True
         self._changed.set()
 
-    def _note_answer(self, server, failed):
+    def _note_answer(self, server, observation):
         self._touched[server.name] = trio.current_time()
-        self._urgent = self._urgent or failed
+        if observation is not None:
+            self._add_total(server, observation)
+        self._urgent = self._urgent or observation is Observation.FAILED_FAST
         self._changed.set()
 
+    def _add_total(self, server, observation, number=1):
+        self._totals.add(server, observation, number)
+        if self._totals.failed:
+            self._summary_due.set()
+
     async def _send_all(self):
         while True:
-            with trio.move_on_after(_HEARTBEAT):
+            due = trio.current_time() + _HEARTBEAT
+            with trio.move_on_at(min(due, self._proof_due)):
                 await self._changed.wait()
-            heartbeat = not self._changed.is_set()
-            if not heartbeat and not self._urgent:
-                await trio.sleep(_GATHER_TIME)
+            now = trio.current_time()
+            heartbeat = not self._changed.is_set() and now < self._proof_due
+            if now >= self._proof_due:
+                self._proof_due = math.inf
+            elif not heartbeat:
+                await self._gather()
             self._changed, self._urgent = trio.Event(), False
+            self._short = False
             await self._send_report(heartbeat)
 
+    async def _gather(self):
+        """Wait for further changes, as long as none of them matters at once."""
+        due = trio.current_time() + _GATHER_TIME
+        soon = trio.current_time() + _SHORT_GATHER_TIME
+        while not self._urgent:
+            until = soon if self._short else due
+            if trio.current_time() >= until:
+                break
+            self._changed = trio.Event()
+            with trio.move_on_at(until):
+                await self._changed.wait()
+
+    async def _send_summaries(self):
+        """Report for the zone to the other zones while this instance speaks for it."""
+        while True:
+            with trio.move_on_after(_SUMMARY_INTERVAL):
+                await self._summary_due.wait()
+            self._summary_due = trio.Event()
+            now = trio.current_time()
+            for zone in self._views.expire(now):
+                self._drop_loads(_zone_key(zone))
+            failed, self._totals.failed = self._totals.failed, set()
+            if self.peers.is_speaker():
+                await self._send_summary(failed)
+            await trio.sleep(_URGENT_INTERVAL)
+
+    async def _send_summary(self, failed):
+        loads = self._totals.make_loads(
+            self._dispatcher.list_servers(), self._measure_zone_load
+        )
+        if failed:
+            loads = [load for load in loads if load.server in failed]
+        report = self._make_report(loads, summary=True, partial=bool(failed))
+        data = encode_report(report)
+        for record in choose_recipients(self.peers, self._views, bool(failed)):
+            await self._send(data, record.control)
+
+    def _measure_zone_load(self, server):
+        """Return what the instances of this zone have in flight at a server."""
+        return server.own_load + sum(
+            server.read_peer_load(name) for name in self.peers.peers
+        )
+
     async def _send_report(self, heartbeat):
         for peer in self.peers.expire(trio.current_time()):
-            self.forget_peer(peer)
+            self._drop_loads(peer.record.name)
         self._rounds += heartbeat
         to_silent = heartbeat and self._rounds % _SILENT_ROUNDS == 0
-        data = encode_report(self._make_report())
+        data = encode_report(self._make_report(self._list_loads()))
         for peer in list(self.peers.peers.values()):
             if peer.alive or to_silent:
                 await self._send(data, peer.record.control)
@@ -161,7 +241,7 @@
             # A full link or an absent route; the next report makes it good.
             self._metrics.count("reports_unsent", error=type(error).__name__)
 
-    def _make_report(self, wants_reply=False):
+    def _make_report(self, loads, wants_reply=False, summary=False, partial=False):
         self._sequence += 1
         return Report(
             sender=self.peers.own,
@@ -172,19 +252,30 @@
             routes_version=self._view.routes_version(),
             servers_version=self._view.servers_version(),
             read_age=self._view.measure_read_age(),
-            loads=tuple(self._list_loads()),
+            loads=tuple(loads),
             wants_reply=wants_reply,
+            summary=summary,
+            partial=partial,
         )
 
-    def _list_loads(self):
-        start = trio.current_time() - _REPORTED_TIME
+    def _list_loads(self, whole=False):
+        """Return the loads of the servers in use, or of all that were ever used."""
+        now = trio.current_time()
+        start = now - _REPORTED_TIME
         self._touched = {
             name: time for name, time in self._touched.items() if time > start
         }
         loads = [
-            ServerLoad(server.name, server.own_load, server.served, server.failed)
+            ServerLoad(
+                server.name,
+                server.own_load,
+                tuple(server.counts[kind] for kind in COUNTED),
+                server.count_own_started(now),
+            )
             for server in self._dispatcher.list_servers()
-            if server.own_load or server.name in self._touched
+            if server.own_load
+            or server.name in self._touched
+            or (whole and any(server.counts.values()))
         ]
         if len(loads) > _MOST_LOADS:
             loads.sort(key=lambda load: -load.in_flight)
@@ -202,49 +293,56 @@
             except MessageError as error:
                 self._metrics.count("messages_rejected", reason=str(error)[:32])
                 continue
-            await self._take_report(report)
+            await self._take_report(report, data)
 
-    async def _take_report(self, report):
+    async def _take_report(self, report, data):
         now = trio.current_time()
-        is_new = report.sender.name not in self.peers.peers
+        if report.summary:
+            await self._take_summary(report, data, now)
+            return
         peer = self.peers.note_report(report, now)
         if peer is None:
             return
-        if is_new or report.wants_reply:
-            data = encode_report(self._make_report())
-            await self._send(data, report.sender.control)
-        self._apply_loads(peer, report.loads, now)
+        is_first = peer.counts is None
+        if is_first or report.wants_reply:
+            reply = encode_report(self._make_report(self._list_loads(whole=True)))
+            await self._send(reply, report.sender.control)
+        if is_first:
+            # Totals from before this instance heard of them say little of the present.
+            peer.counts = {load.server: load.counts for load in report.loads}
+        for server, kind, number in self._apply_loads(
+            peer.record.name, peer.counts, report, now
+        ):
+            self._add_total(server, kind, number)
         self._view.note_versions(peer)
 
-    def _apply_loads(self, peer, loads, now):
-        name, named, woken = peer.record.name, set(), False
-        for load in loads:
+    async def _take_summary(self, report, data, now):
+        zone = report.sender.zone
+        if zone == self.peers.own.zone or not self._views.accept(report, now):
+            return
+        self.peers.add_instance(report.sender, now)
+        # Peers drop what they have had already.
+        for peer in self.peers.list_alive():
+            await self._send(data, peer.record.control)
+        self._apply_loads(_zone_key(zone), self._views.find_counts(zone), report, now)
+
+    def _apply_loads(self, key, counts, report, now):
+        """Take over the loads of a peer or zone; return its new observations."""
+        named, woken, observed = set(), False, []
+        for load in report.loads:
             named.add(load.server)
             server = self._dispatcher.find_server(load.server)
             if server is None:
                 continue
-            woken |= server.set_peer_load(name, load.in_flight)
-            self._apply_counts(peer, server, load, now)
-        for server in self._dispatcher.list_servers():
-            if server.name not in named:
-                woken |= server.set_peer_load(name, 0)
-        if woken:
+            woken |= server.set_peer_load(key, load.in_flight, load.started)
+            observed += _apply_counts(counts, server, load, now)
+        if not report.partial:
+            for server in self._dispatcher.list_servers():
+                if server.name not in named:
+                    woken |= server.set_peer_load(key, 0)
+        if woken or observed:
             self._wake_all()
-
-    def _apply_counts(self, peer, server, load, now):
-        """Add the answers that a peer has seen since its last report."""
-        known = peer.counts.get(load.server)
-        peer.counts[load.server] = (load.served, load.failed)
-        served, failed = load.served, load.failed
-        if known is None:
-            # Totals from before this instance heard of them say little of the present.
-            served, failed = min(served, 1), 0
-        elif served >= known[0] and failed >= known[1]:
-            served, failed = served - known[0], failed - known[1]
-        for _ in range(min(served, _MOST_COUNTED)):
-            server.belief.note_answer(now, False)
-        for _ in range(min(failed, _MOST_COUNTED)):
-            server.belief.note_answer(now, True)
+        return observed
 
     def _wake_all(self):
         for pool in self._dispatcher.pools.values():
@@ -268,3 +366,31 @@
 def make_zone_exchange(peers, dispatcher, view, metrics):
     """Return the exchange of one instance; see `ZoneExchange`."""
     return ZoneExchange(peers, dispatcher, view, metrics)
+
+
+def _zone_key(zone):
+    """Return the key of the loads of another zone; no instance has such a name."""
+    return f"zone:{zone}"
+
+
+def _apply_counts(known, server, load, now):
+    """Observe what another instance or zone has seen since its last report.
+
+    Returns
+    -------
+    list of (BalancedServer, Observation, int)
+    """
+    before = known.get(load.server, _NOTHING)
+    known[load.server] = load.counts
+    if any(a < b for a, b in zip(load.counts, before, strict=True)):
+        new = load.counts
+    else:
+        new = [a - b for a, b in zip(load.counts, before, strict=True)]
+    observed = []
+    for kind, number in zip(COUNTED, new, strict=True):
+        number = min(number, _MOST_COUNTED)
+        for _ in range(number):
+            server.observe(now, kind)
+        if number:
+            observed.append((server, kind, number))
+    return observed
--- a/kumquatsaddle/sharing/messages.py
+++ b/kumquatsaddle/sharing/messages.py
@@ -1,16 +1,19 @@
 """Encodes and decodes the messages of `reports.capnp`."""
 
 from dataclasses import dataclass
+from functools import lru_cache
 from pathlib import Path
 
 import capnp
 
+from kumquatsaddle.balance.beliefs import Observation
 from kumquatsaddle.discovery.records import InstanceRecord
 from kumquatsaddle.exceptions import MessageError
 from kumquatsaddle.settings.parsers import parse_address
 from kumquatsaddle.types import BackendId, InstanceId, MessageRejection, ZoneId
 
 __all__ = [
+    "COUNTED",
     "Fetch",
     "Report",
     "RowText",
@@ -29,6 +32,14 @@
 _WORD_BYTES = 8
 # Longest age in seconds that a report can tell.
 _LONGEST_AGE = 1e6
+# Every report repeats two addresses, whose checks cost more than the rest of it.
+_read_address = lru_cache(maxsize=4096)(parse_address)
+# Observations whose numbers a report tells.
+COUNTED = (
+    Observation.SERVED,
+    Observation.FAILED_FAST,
+    Observation.FAILED_SLOWLY,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,14 +50,16 @@
     ----------
     server : BackendId
     in_flight : int
-    served, failed : int
-        Answers since the instance knows the server.
+    counts : tuple of int
+        Observations since the instance knows the server, in the order of `COUNTED`.
+    started : int
+        Requests in flight that have not failed at once.
     """
 
     server: BackendId
     in_flight: int
-    served: int
-    failed: int
+    counts: tuple[int, ...]
+    started: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,6 +76,8 @@
     read_age: float
     loads: tuple[ServerLoad, ...]
     wants_reply: bool = False
+    summary: bool = False
+    partial: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,10 +122,12 @@
     message.serversVersion = report.servers_version
     message.readAgeMs = int(min(report.read_age, _LONGEST_AGE) * 1000)
     message.wantsReply = report.wants_reply
+    message.summary, message.partial = report.summary, report.partial
     loads = message.init("loads", len(report.loads))
     for target, load in zip(loads, report.loads, strict=True):
         target.server, target.inFlight = load.server, load.in_flight
-        target.served, target.failed = load.served, load.failed
+        target.served, target.failedFast, target.failedSlowly = load.counts
+        target.started = load.started
     return message.to_bytes()
 
 
@@ -178,8 +195,8 @@
         sender=InstanceRecord(
             InstanceId(message.sender),
             ZoneId(message.zone),
-            parse_address(message.callers),
-            parse_address(message.control),
+            _read_address(message.callers),
+            _read_address(message.control),
         ),
         incarnation=message.incarnation,
         sequence=message.sequence,
@@ -189,10 +206,17 @@
         servers_version=message.serversVersion,
         read_age=message.readAgeMs / 1000,
         loads=tuple(
-            ServerLoad(load.server, load.inFlight, load.served, load.failed)
+            ServerLoad(
+                load.server,
+                load.inFlight,
+                (load.served, load.failedFast, load.failedSlowly),
+                load.started,
+            )
             for load in message.loads
         ),
         wants_reply=message.wantsReply,
+        summary=message.summary,
+        partial=message.partial,
     )
 
 
--- a/kumquatsaddle/sharing/peers.py
+++ b/kumquatsaddle/sharing/peers.py
@@ -22,8 +22,8 @@
         The latest one.
     heard : float
         When it came, on the clock of trio in seconds.
-    counts : dict of BackendId to (int, int)
-        Answers served and failed that it has told.
+    counts : dict of BackendId to tuple of int, or None
+        Observations that it has told; None before its first report.
     """
 
     def __init__(self, record, now):
@@ -32,7 +32,7 @@
         self.heard = now - ALIVE_TIME
         self.added = now
         self.alive = False
-        self.counts = {}
+        self.counts = None
         self.former = []
 
     def measure_read_age(self, now):
@@ -84,7 +84,7 @@
                 return None
         elif known is not None:
             peer.former = [*peer.former[-_MOST_FORMER:], known.incarnation]
-            peer.counts = {}
+            peer.counts = None
         peer.record, peer.report, peer.heard = report.sender, report, now
         if not peer.alive:
             peer.alive = True
@@ -110,6 +110,19 @@
         alive = [peer for peer in self.peers.values() if peer.alive]
         return sorted(alive, key=lambda peer: peer.record.name)
 
+    def is_speaker(self):
+        """Return whether this instance reports for its zone to the others."""
+        alive = self.list_alive()
+        return not alive or self.own.name < alive[0].record.name
+
+    def list_other_zones(self):
+        """Return the instances of each other zone, by zone."""
+        zones = {}
+        for record in self.instances.values():
+            if record.zone != self.own.zone:
+                zones.setdefault(record.zone, []).append(record)
+        return zones
+
     def list_serving(self, is_serving):
         """Return the `InstanceRecord` of the instances that callers may use.
 
--- a/kumquatsaddle/sharing/reports.capnp
+++ b/kumquatsaddle/sharing/reports.capnp
@@ -17,13 +17,17 @@
   readAgeMs @10 :UInt32;     # time since the store answered the sender
   loads @11 :List(ServerLoad);
   wantsReply @12 :Bool;      # the sender does not know the recipient's load yet
+  summary @13 :Bool;         # loads are those of all instances of the sender's zone
+  partial @14 :Bool;         # servers that are not named have not changed
 }
 
 struct ServerLoad {
   server @0 :Text;
   inFlight @1 :UInt16;
-  served @2 :UInt32;         # since the sender knows the server
-  failed @3 :UInt32;
+  served @2 :UInt32;         # observations since the sender knows the server
+  failedFast @3 :UInt32;
+  failedSlowly @4 :UInt32;
+  started @5 :UInt16;        # of those in flight, the ones that did not fail at once
 }
 
 # A frame: asks for what changed after two versions.
