--- a/kumquatsaddle/discovery/follower.py
+++ b/kumquatsaddle/discovery/follower.py
@@ -30,7 +30,7 @@
 _TURN = 0.12
 _MOST_TURNS = 6
 # Time in seconds between looks at the peers.
-_LOOK_INTERVAL = 0.1
+_LOOK_INTERVAL = 0.15
 # Pause in seconds after a failed call, doubled up to the longest.
 _SHORTEST_PAUSE, _LONGEST_PAUSE = 0.15, 0.6
 # Shortest time in seconds between two calls for one table, so that changes in quick
@@ -38,6 +38,8 @@
 _CALL_INTERVAL = 0.25
 # Time in seconds for a peer to answer a fetch.
 _FETCH_TIMEOUT = 0.6
+# Pause in seconds between two rounds of fetches.
+_FETCH_PAUSE = 0.01
 
 
 class _Table:
@@ -51,6 +53,7 @@
         self.apply_changes = apply_changes
         self.version = None
         self.read_at = float("-inf")
+        self.watching = False
 
 
 class Follower:
@@ -128,34 +131,41 @@
     async def run(self):
         """Follow the store until cancelled."""
         async with trio.open_nursery() as nursery:
-            for table in self._tables:
-                nursery.start_soon(self._watch, table)
             nursery.start_soon(self._follow_peers)
-            nursery.start_soon(self._expire)
+            while True:
+                if self.servers.expire_lapsed(self._clock()):
+                    await self._tell_servers()
+                for table in self._tables:
+                    if not table.watching and self._should_read(table):
+                        table.watching = True
+                        nursery.start_soon(self._watch, table)
+                await trio.sleep(_LOOK_INTERVAL)
 
     async def _watch(self, table):
+        """Watch a table of the store as long as no peer does so for this instance."""
         pause = _SHORTEST_PAUSE
-        while True:
-            if not self._should_read(table):
-                # The next watch starts from a whole read or from the peers' version.
-                await trio.sleep(_LOOK_INTERVAL)
-                continue
-            started = self._clock()
-            try:
-                await self._read(table)
-            except PlatformUnavailableError as error:
-                self._note_failure(table, error)
-                await trio.sleep(pause)
-                pause = min(2 * pause, _LONGEST_PAUSE)
-                continue
-            except HistoryLostError:
-                log_event("store_history_lost", table=table.name, after=table.version)
-                table.version = None
-                await trio.sleep(_SHORTEST_PAUSE)
-                continue
-            pause = _SHORTEST_PAUSE
-            self._note_success(table)
-            await trio.sleep(max(0.0, started + _CALL_INTERVAL - self._clock()))
+        try:
+            while self._should_read(table):
+                started = self._clock()
+                try:
+                    await self._read(table)
+                except PlatformUnavailableError as error:
+                    self._note_failure(table, error)
+                    await trio.sleep(pause)
+                    pause = min(2 * pause, _LONGEST_PAUSE)
+                    continue
+                except HistoryLostError:
+                    log_event(
+                        "store_history_lost", table=table.name, after=table.version
+                    )
+                    table.version = None
+                    await trio.sleep(_SHORTEST_PAUSE)
+                    continue
+                pause = _SHORTEST_PAUSE
+                self._note_success(table)
+                await trio.sleep(max(0.0, started + _CALL_INTERVAL - self._clock()))
+        finally:
+            table.watching = False
 
     async def _read(self, table):
         if table.version is None:
@@ -265,7 +275,7 @@
                 if not self._is_newer(peer.report):
                     break
             if newer:
-                await trio.sleep(_LOOK_INTERVAL / 10)
+                await trio.sleep(_FETCH_PAUSE)
 
     async def _fetch(self, address):
         """Take over what an instance knows; return whether it answered."""
@@ -298,12 +308,6 @@
                 log_event("backend_entry_invalid", backend=row.key, error=error)
         return ListedRow(row.key, row.version, record, row.removed, row.text)
 
-    async def _expire(self):
-        while True:
-            await trio.sleep(_LOOK_INTERVAL)
-            if self.servers.expire_lapsed(self._clock()):
-                await self._tell_servers()
-
     async def join(self, addresses):
         """Take over the view of the first instance that answers."""
         for address in addresses:
--- a/kumquatsaddle/lifecycle/pauses.py
+++ b/kumquatsaddle/lifecycle/pauses.py
@@ -24,10 +24,14 @@
     ----------
     clock : callable
         Returns monotonic seconds.
+    tick : float, optional
+        Time in seconds between two ticks. Pauses of three ticks are noticed.
     """
 
-    def __init__(self, clock=trio.current_time):
+    def __init__(self, clock=trio.current_time, tick=_TICK):
         self._clock = clock
+        self._interval = tick
+        self._shortest = _SHORTEST_PAUSE / _TICK * tick
         self._last_tick = None
         self._pause = 0.0
         self._ended = 0.0
@@ -36,7 +40,7 @@
         """Tick until cancelled."""
         while True:
             self.tick()
-            await trio.sleep(_TICK)
+            await trio.sleep(self._interval)
 
     def tick(self):
         """Note that the event loop runs."""
@@ -49,12 +53,12 @@
         return self._pause if now - self._ended < _CATCH_UP else 0.0
 
     def _note(self, now):
-        if self._last_tick is not None and now - self._last_tick >= _SHORTEST_PAUSE:
+        if self._last_tick is not None and now - self._last_tick >= self._shortest:
             self._pause = now - self._last_tick
             self._ended = now
         self._last_tick = now
 
 
-def make_pause_watch():
+def make_pause_watch(tick=_TICK):
     """Return a watch on the clock of trio; see `PauseWatch`."""
-    return PauseWatch()
+    return PauseWatch(tick=tick)
--- a/kumquatsaddle/lifecycle/routed_node.py
+++ b/kumquatsaddle/lifecycle/routed_node.py
@@ -38,6 +38,13 @@
 _JOIN_INTERVAL = 0.3
 # Time in seconds between looks at the settings file.
 _SETTINGS_INTERVAL = 1.0
+# Time in seconds between the ticks that notice pauses.
+_PAUSE_TICK = 0.2
+# Processor time in seconds of one request, and bytes that it moves over the link of an
+# instance; both bound the requests a second that callers should send there.
+_REQUEST_SECONDS = 0.005
+_REQUEST_BYTES = 20000
+_BYTES_PER_MEGABIT = 125000
 
 
 @dataclass(frozen=True)
@@ -114,10 +121,11 @@
             self.peers, self.dispatcher, self, self.metrics
         )
         self.follower.exchange = self.exchange
+        self.capacity = _measure_capacity(settings)
         self._parts = parts
         self._store = parts.store
         self._shares = ShareCounter()
-        self._pauses = make_pause_watch()
+        self._pauses = make_pause_watch(_PAUSE_TICK)
         self._scope = _CallerScope(settings, self.metrics)
         self._leaving = False
         self.callers = None
@@ -132,7 +140,7 @@
 
     def list_serving(self):
         """Return the `InstanceRecord` of the instances for callers of this zone."""
-        return self.peers.list_serving(self.is_serving())
+        return self.peers.list_active(self.is_serving(), self.capacity)
 
     def routes_version(self):
         """Return the store version of the routes in force."""
@@ -286,3 +294,10 @@
     except OSError:
         return None
     return status.st_mtime_ns, status.st_size, status.st_ino
+
+
+def _measure_capacity(settings):
+    """Return the requests a second that an instance can take."""
+    by_link = settings.get("instance", "link") * _BYTES_PER_MEGABIT / _REQUEST_BYTES
+    by_processor = settings.get("instance", "processors") / _REQUEST_SECONDS
+    return min(by_link, by_processor)
--- a/kumquatsaddle/sharing/exchange.py
+++ b/kumquatsaddle/sharing/exchange.py
@@ -29,8 +29,9 @@
 
 __all__ = ["ZoneExchange", "make_zone_exchange"]
 
-# Time in seconds between reports when nothing happens.
-_HEARTBEAT = 0.4
+# Time in seconds between reports to all peers: of the speaker of the zone and of
+# instances that callers are sent to, and of others.
+_HEARTBEAT, _SLOW_HEARTBEAT = 0.4, 1.0
 # Time in seconds in which changes of load are gathered into one report: while all
 # servers have room, and when one is short of it. A failure is told at once.
 _GATHER_TIME, _SHORT_GATHER_TIME = 0.15, 0.015
@@ -87,6 +88,8 @@
         self._views = ZoneViews()
         self._summary_due = trio.Event()
         self._rounds = 0
+        self._told_at = -math.inf
+        self._active = frozenset()
         dispatcher.on_load = self._note_load
         dispatcher.on_answer = self._note_answer
 
@@ -168,18 +171,26 @@
 
     async def _send_all(self):
         while True:
-            due = trio.current_time() + _HEARTBEAT
+            interval = self._measure_interval()
+            due = self._told_at + interval
             with trio.move_on_at(min(due, self._proof_due)):
                 await self._changed.wait()
             now = trio.current_time()
-            heartbeat = not self._changed.is_set() and now < self._proof_due
+            heartbeat = now >= due
             if now >= self._proof_due:
                 self._proof_due = math.inf
             elif not heartbeat:
                 await self._gather()
+            to_all = heartbeat or self._urgent
             self._changed, self._urgent = trio.Event(), False
             self._short = False
-            await self._send_report(heartbeat)
+            await self._send_report(to_all, interval)
+
+    def _measure_interval(self):
+        """Return the time in seconds between reports to all peers."""
+        self._active = {record.name for record in self._view.list_serving()}
+        frequent = self.peers.own.name in self._active or self.peers.is_speaker()
+        return _HEARTBEAT if frequent else _SLOW_HEARTBEAT
 
     async def _gather(self):
         """Wait for further changes, as long as none of them matters at once."""
@@ -224,14 +235,19 @@
             server.read_peer_load(name) for name in self.peers.peers
         )
 
-    async def _send_report(self, heartbeat):
+    async def _send_report(self, to_all, interval):
+        """Report to all peers, or only to those that callers are sent to."""
         for peer in self.peers.expire(trio.current_time()):
             self._drop_loads(peer.record.name)
-        self._rounds += heartbeat
-        to_silent = heartbeat and self._rounds % _SILENT_ROUNDS == 0
-        data = encode_report(self._make_report(self._list_loads()))
+        self._rounds += to_all
+        to_silent = to_all and self._rounds % _SILENT_ROUNDS == 0
+        if to_all:
+            self._told_at = trio.current_time()
+        report = self._make_report(self._list_loads(), interval=interval)
+        data = encode_report(report)
         for peer in list(self.peers.peers.values()):
-            if peer.alive or to_silent:
+            wanted = to_all or peer.record.name in self._active
+            if to_silent or (peer.alive and wanted):
                 await self._send(data, peer.record.control)
 
     async def _send(self, data, address):
@@ -241,7 +257,14 @@
             # A full link or an absent route; the next report makes it good.
             self._metrics.count("reports_unsent", error=type(error).__name__)
 
-    def _make_report(self, loads, wants_reply=False, summary=False, partial=False):
+    def _make_report(
+        self,
+        loads,
+        wants_reply=False,
+        summary=False,
+        partial=False,
+        interval=_SLOW_HEARTBEAT,
+    ):
         self._sequence += 1
         return Report(
             sender=self.peers.own,
@@ -256,6 +279,8 @@
             wants_reply=wants_reply,
             summary=summary,
             partial=partial,
+            capacity=self._view.capacity,
+            interval=interval,
         )
 
     def _list_loads(self, whole=False):
--- a/kumquatsaddle/sharing/messages.py
+++ b/kumquatsaddle/sharing/messages.py
@@ -78,6 +78,8 @@
     wants_reply: bool = False
     summary: bool = False
     partial: bool = False
+    capacity: float = 0.0
+    interval: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -123,6 +125,8 @@
     message.readAgeMs = int(min(report.read_age, _LONGEST_AGE) * 1000)
     message.wantsReply = report.wants_reply
     message.summary, message.partial = report.summary, report.partial
+    message.capacity = report.capacity
+    message.intervalMs = int(report.interval * 1000)
     loads = message.init("loads", len(report.loads))
     for target, load in zip(loads, report.loads, strict=True):
         target.server, target.inFlight = load.server, load.in_flight
@@ -217,6 +221,8 @@
         wants_reply=message.wantsReply,
         summary=message.summary,
         partial=message.partial,
+        capacity=message.capacity,
+        interval=message.intervalMs / 1000,
     )
 
 
--- a/kumquatsaddle/sharing/peers.py
+++ b/kumquatsaddle/sharing/peers.py
@@ -1,13 +1,22 @@
 """The other instances of the zone, as their reports describe them."""
 
+from math import ceil
+from zlib import crc32
+
 from kumquatsaddle.logs import log_event
 
 __all__ = ["Peer", "PeerTable"]
 
-# Time in seconds without a report after which a peer counts as gone, and after which
-# it is forgotten.
-ALIVE_TIME = 1.3
+# Reports that a peer may miss before it counts as gone, and the time in seconds that
+# one may be late.
+_MISSED_REPORTS = 3
+_LATE_TIME = 0.15
+# Time in seconds without a report after which a peer is forgotten.
 _FORGET_TIME = 60.0
+# Callers are sent to a part of the instances of a zone: what one instance sees of the
+# load of the servers is exact, and few have to be told.
+_ACTIVE_SHARE = 0.25
+_FEWEST_ACTIVE = 4
 # Former incarnations of a peer whose late datagrams are dropped.
 _MOST_FORMER = 8
 
@@ -29,7 +38,7 @@
     def __init__(self, record, now):
         self.record = record
         self.report = None
-        self.heard = now - ALIVE_TIME
+        self.heard = float("-inf")
         self.added = now
         self.alive = False
         self.counts = None
@@ -95,7 +104,7 @@
         """Return the peers that have just fallen silent."""
         silent = []
         for name, peer in list(self.peers.items()):
-            if peer.alive and now - peer.heard > ALIVE_TIME:
+            if peer.alive and now - peer.heard > _measure_patience(peer.report):
                 peer.alive = False
                 silent.append(peer)
                 age = round(now - peer.heard, 2)
@@ -123,13 +132,37 @@
                 zones.setdefault(record.zone, []).append(record)
         return zones
 
-    def list_serving(self, is_serving):
-        """Return the `InstanceRecord` of the instances that callers may use.
+    def list_active(self, is_serving, capacity):
+        """Return the `InstanceRecord` of the instances that callers are sent to.
+
+        Every instance of the zone derives the same ones from the same reports: those
+        with the most capacity, and among equals the first in the order of a hash.
 
         Parameters
         ----------
         is_serving : bool
-            Whether this instance is one of them.
+            Whether this instance can serve callers.
+        capacity : float
+            Of this instance, in requests a second.
         """
-        serving = [peer.record for peer in self.list_alive() if peer.report.serving]
-        return [self.own, *serving] if is_serving else serving
+        serving = [
+            (peer.report.capacity, peer.record)
+            for peer in self.list_alive()
+            if peer.report.serving
+        ]
+        if is_serving:
+            serving.append((capacity, self.own))
+        serving.sort(key=_order_active)
+        number = max(_FEWEST_ACTIVE, ceil(len(serving) * _ACTIVE_SHARE))
+        return [record for _, record in serving[:number]]
+
+
+def _order_active(item):
+    capacity, record = item
+    # The capacity travels as a 32-bit number.
+    return -round(capacity), crc32(record.name.encode())
+
+
+def _measure_patience(report):
+    """Return how long a peer may stay silent, in seconds."""
+    return _MISSED_REPORTS * report.interval + _LATE_TIME
--- a/kumquatsaddle/sharing/reports.capnp
+++ b/kumquatsaddle/sharing/reports.capnp
@@ -19,6 +19,8 @@
   wantsReply @12 :Bool;      # the sender does not know the recipient's load yet
   summary @13 :Bool;         # loads are those of all instances of the sender's zone
   partial @14 :Bool;         # servers that are not named have not changed
+  capacity @15 :Float32;     # requests a second that the sender can take
+  intervalMs @16 :UInt16;    # longest time until the sender's next report
 }
 
 struct ServerLoad {
