Test evidence, choice, budget, routes and the balanced dispatcher

The floor of a state's probability pinned the sum, so a server that lost answers was never believed sound again; found by the property on recovery.

--- a/kumquatsaddle/balance/beliefs.py
+++ b/kumquatsaddle/balance/beliefs.py
@@ -19,8 +19,8 @@
 
 __all__ = ["SICK_STATES", "Belief", "Observation", "SickState"]
 
-# Bounds of the probability of a sick state; no observation makes it certain.
-_LOWEST, _HIGHEST = 0.0005, 0.9995
+# Lowest probability of a state relative to the likeliest; nothing becomes certain.
+_LOWEST = 0.0005
 
 
 class Observation(Enum):
@@ -64,9 +64,9 @@
 
 
 _SOUND_SHARES = {
-    Observation.SERVED: 0.985,
-    Observation.STARTED: 0.997,
-    Observation.FAILED_FAST: 0.003,
+    Observation.SERVED: 0.987,
+    Observation.STARTED: 0.999,
+    Observation.FAILED_FAST: 0.001,
     Observation.FAILED_SLOWLY: 0.012,
 }
 _SOUND_FAILURES = 1.0 - _SOUND_SHARES[Observation.SERVED]
@@ -155,10 +155,15 @@
 
 def _weigh(sick, observation):
     """Return the probabilities of the sick states after an observation."""
+    sound = max(_LOWEST, 1.0 - sum(sick)) * _SOUND_SHARES[observation]
     weights = [
         probability * state.shares[observation]
         for state, probability in zip(SICK_STATES, sick, strict=True)
     ]
-    sound = max(_LOWEST, 1.0 - sum(sick)) * _SOUND_SHARES[observation]
+    # The floor is relative to the likeliest state, so that no state which has become
+    # unlikely holds back the growth of another.
+    lowest = _LOWEST * max(sound, *weights)
+    sound = max(lowest, sound)
+    weights = [max(lowest, weight) for weight in weights]
     total = sum(weights) + sound
-    return [min(_HIGHEST, max(_LOWEST, weight / total)) for weight in weights]
+    return [weight / total for weight in weights]
--- /dev/null
+++ b/kumquatsaddle/balance/tests/evidence.feature
@@ -0,0 +1,34 @@
+Feature: Evidence on backend servers
+
+  Scenario: A failure at once makes a server doubtful, successes make it sure again
+    # Guards against a server that goes on getting work while it fails at once.
+    Then one failure at once puts a server behind every other, for 5 seconds
+    And without observations the chance of a failure returns to the usual one
+
+  Scenario: The filter stays within its bounds
+    # Guards against a probability that leaves the unit interval or sticks at its end.
+    Then any sequence of observations keeps the chance of a failure between 0 and 1
+    And after any sequence some successes make the server sound again
+
+  Scenario: Requests that started before a failure say nothing of the time after it
+    # Guards against a success that was under way and clears a server that fails.
+    Then a success of an earlier request leaves the chance of a failure as it is
+    And a request that started later and has not failed at once lowers it
+
+  Scenario: A failure that took its time is weak evidence
+    # Guards against errors of the requests themselves that empty sound servers.
+    Then one slow failure makes a server less doubtful than one failure at once
+
+  Scenario: A new server is tried once it is warm
+    # Guards against servers that join and get no request while others are sure.
+    Then a warm new server is chosen before sure ones, and only until its first request
+    And a cold new server is not
+
+  Scenario: A server in another zone has to be worth the bytes
+    # Guards against answers that cross zones while a server here is sound.
+    Then a sound server of this zone is chosen before a sound one of another
+    And a server of another zone is chosen when the one here fails at once
+
+  Scenario: A slow server is passed over before its answer comes
+    # Guards against requests that pile up at a server that hangs.
+    Then a server with an overdue request costs more than one without
--- /dev/null
+++ b/kumquatsaddle/balance/tests/steps/dispatcher.py
@@ -0,0 +1,281 @@
+import trio
+from behave import given, then, when
+from hypothesis import given as for_all
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from kumquatsaddle.balance import RoutedRequest, make_balanced_dispatcher
+from kumquatsaddle.discovery.records import ServerRecord
+from kumquatsaddle.dispatch.protocol import BackendProtocol
+from kumquatsaddle.metrics import make_metrics
+from kumquatsaddle.routes import PublishedRoute, RouteShare
+from kumquatsaddle.settings.parsers import parse_address
+from kumquatsaddle.testing.backends import MAX_ANSWER, ScriptedServers
+from kumquatsaddle.testing.loops import start_loop
+from kumquatsaddle.types import Outcome, Rank
+
+PROTOCOL = BackendProtocol(
+    request_id=b"kumquatsaddle-request",
+    deadline=b"kumquatsaddle-deadline-ms",
+    expected_server=b"expected-server",
+    unprocessed=b"backend-unprocessed",
+    skips_strays=True,
+)
+# Actions after which a server may have run the request.
+RUNS = ("whole", "chunked", "head", "failed", "cut", "close", "surplus", "stray")
+SCRIPTS = st.lists(
+    st.tuples(st.sampled_from([*RUNS, "refuse", "early"]), st.integers(0, 200)),
+    max_size=6,
+)
+ATTEMPTS = 2
+# Each example opens sockets.
+EXAMPLES = 40
+
+
+def make_request(number, idempotent, patience=3.0):
+    route = PublishedRoute(
+        "r",
+        "h",
+        "/",
+        idempotent,
+        patience,
+        1.0,
+        Rank.BULK,
+        ATTEMPTS,
+        (RouteShare("s", 1.0),),
+    )
+    now = trio.current_time()
+    headers = [(b"host", b"h"), (PROTOCOL.request_id, str(number).encode())]
+    return RoutedRequest(
+        str(number).encode(),
+        "GET" if idempotent else "POST",
+        f"/{number}",
+        headers,
+        b"",
+        route,
+        "s",
+        now,
+        now + patience,
+    )
+
+
+async def open_servers(nursery, count, **terms):
+    servers = ScriptedServers(nursery)
+    dispatcher = make_balanced_dispatcher(
+        "z", PROTOCOL, make_metrics(), MAX_ANSWER, **terms
+    )
+    backends = await servers.start(count)
+    records = [
+        ServerRecord(b.name, 1, "s", parse_address(b.address), "z", 6, False)
+        for b in backends
+    ]
+    await dispatcher.update_servers(records)
+    return servers, dispatcher
+
+
+async def run_script(script, idempotent, requests=3, **terms):
+    async with trio.open_nursery() as nursery:
+        servers, dispatcher = await open_servers(nursery, 3, **terms)
+        servers.script = list(script)
+        answers = [
+            await dispatcher.dispatch(make_request(number, idempotent))
+            for number in range(requests)
+        ]
+        nursery.cancel_scope.cancel()
+    return servers, answers
+
+
+def check_scripts(idempotent, check, **terms):
+    @settings(max_examples=EXAMPLES)
+    @for_all(SCRIPTS)
+    def run(script):
+        servers, answers = trio.run(lambda: run_script(script, idempotent, **terms))
+        runs = {}
+        for target in servers.reached:
+            runs[target] = runs.get(target, 0) + 1
+        check(answers, runs, servers)
+
+    run()
+
+
+@then("under any script of answers no unsafe request runs twice")
+def check_once(context):
+    def check(answers, runs, servers):
+        assert all(count == 1 for count in runs.values()), runs
+
+    check_scripts(False, check)
+
+
+@then("no request that was refused as not run has reached a server that ran it")
+def check_not_run(context):
+    def check(answers, runs, servers):
+        for number, answer in enumerate(answers):
+            if answer.outcome is Outcome.NOT_RUN:
+                assert f"/{number}" not in runs, (number, runs)
+
+    for idempotent in (False, True):
+        check_scripts(idempotent, check)
+
+
+@then("under any script a repeatable request runs on two servers at most")
+def check_attempts(context):
+    def check(answers, runs, servers):
+        assert all(count <= ATTEMPTS for count in runs.values()), runs
+
+    check_scripts(True, check)
+
+
+@then("a service whose budget is empty repeats nothing")
+def check_empty_budget(context):
+    def check(answers, runs, servers):
+        sent = [*servers.reached, *servers.refused]
+        assert len(sent) == len(set(sent)), sent
+
+    check_scripts(True, check, share=0.0, allowance=0.0)
+
+
+@given("servers of which one answers 421")
+def prepare_misdirected(context):
+    async def run():
+        async with trio.open_nursery() as nursery:
+            servers, dispatcher = await open_servers(nursery, 2)
+            servers.script = [("misdirected", 0)]
+            answers = [
+                await dispatcher.dispatch(make_request(number, False))
+                for number in range(5)
+            ]
+            gone = [server.gone for server in dispatcher.list_servers()]
+            nursery.cancel_scope.cancel()
+        return answers, gone, servers
+
+    context.answers, context.gone, context.servers = trio.run(run)
+
+
+@then("every request is served and the server gets one request only")
+def check_misdirected(context):
+    assert {answer.status for answer in context.answers} == {200}
+    assert sorted(context.gone) == [False, True]
+    # The refused request is the only one that was sent twice.
+    assert len(context.servers.reached) == len(context.answers) + 1
+
+
+@given("one server with 6 slots that holds its answers")
+def prepare_held(context):
+    context.loop = start_loop(context)
+    context.answers = {}
+
+    async def prepare():
+        context.nursery_ready = trio.Event()
+        trio.lowlevel.spawn_system_task(hold_open)
+        await context.nursery_ready.wait()
+
+    async def hold_open():
+        async with trio.open_nursery() as nursery:
+            context.nursery = nursery
+            context.servers, context.dispatcher = await open_servers(nursery, 1)
+            context.servers.default = ("late", 0)
+            context.nursery_ready.set()
+            await trio.sleep_forever()
+
+    context.loop.run(prepare)
+    context.add_cleanup(context.loop.run, end_tasks, context)
+
+
+async def end_tasks(context):
+    context.nursery.cancel_scope.cancel()
+
+
+def dispatch(context, number, patience=5.0):
+    async def run():
+        request = make_request(number, False, patience)
+        context.answers[number] = await context.dispatcher.dispatch(request)
+
+    context.nursery.start_soon(run)
+
+
+async def wait_until(condition):
+    with trio.fail_after(5):
+        while not condition():
+            await trio.sleep(0.01)
+
+
+def count_waiting(context):
+    return context.dispatcher.pools["s"].waiting()
+
+
+def count_load(context):
+    return sum(server.load for server in context.dispatcher.list_servers())
+
+
+@when("8 requests are dispatched")
+def dispatch_eight(context):
+    async def run():
+        for number in range(8):
+            dispatch(context, number)
+        await wait_until(lambda: len(context.servers.reached) == 6)
+        await trio.sleep(0.1)
+
+    context.loop.run(run)
+
+
+@then("6 reach it and the others wait")
+def check_waiting(context):
+    assert len(context.servers.reached) == 6
+    assert count_waiting(context) == 2
+
+
+@then("all are served after the answers are let go")
+def let_go(context):
+    async def run():
+        context.servers.late.set()
+        await wait_until(lambda: len(context.answers) == 8)
+
+    context.loop.run(run)
+    assert {answer.status for answer in context.answers.values()} == {200}
+
+
+@when("6 requests and one with 0.3 seconds left are dispatched")
+def dispatch_short(context):
+    async def run():
+        for number in range(6):
+            dispatch(context, number)
+        await wait_until(lambda: len(context.servers.reached) == 6)
+        context.started = trio.current_time()
+        dispatch(context, 6, 0.3)
+        await wait_until(lambda: 6 in context.answers)
+        context.taken = trio.current_time() - context.started
+
+    context.loop.run(run)
+
+
+@then("the last one is refused as not run before its deadline")
+def check_refused(context):
+    assert context.answers[6].outcome is Outcome.NOT_RUN
+    assert context.taken <= 0.3, context.taken
+    assert "/6" not in context.servers.reached
+
+
+@when("8 requests are dispatched and cancelled")
+def dispatch_and_cancel(context):
+    async def run():
+        scopes = []
+
+        async def one(number):
+            with trio.CancelScope() as scope:
+                scopes.append(scope)
+                await context.dispatcher.dispatch(make_request(number, False))
+
+        for number in range(8):
+            context.nursery.start_soon(one, number)
+        await wait_until(lambda: count_waiting(context) == 2)
+        for scope in scopes:
+            scope.cancel()
+        await wait_until(lambda: count_load(context) == 0)
+
+    context.loop.run(run)
+
+
+@then("no load and no waiting request is left")
+def check_nothing_left(context):
+    assert count_load(context) == 0
+    assert count_waiting(context) == 0
--- /dev/null
+++ b/kumquatsaddle/balance/tests/steps/evidence.py
@@ -0,0 +1,161 @@
+from behave import then
+from hypothesis import given as for_all
+from hypothesis import strategies as st
+
+from kumquatsaddle.balance.beliefs import Belief, Observation
+from kumquatsaddle.balance.choice import choose_server, measure_cost
+from kumquatsaddle.balance.requests import RoutedRequest
+from kumquatsaddle.balance.servers import BalancedServer
+from kumquatsaddle.discovery.records import ServerRecord
+from kumquatsaddle.dispatch.protocol import OWN_PROTOCOL
+from kumquatsaddle.routes import PublishedRoute, RouteShare
+from kumquatsaddle.settings.parsers import Address
+from kumquatsaddle.types import Rank
+
+# Usual time of an answer in seconds.
+EXPECTED = 0.5
+OBSERVATIONS = st.sampled_from(
+    [Observation.SERVED, Observation.FAILED_FAST, Observation.FAILED_SLOWLY]
+)
+
+
+def make_server(name, zone="here", now=0.0, is_new=False, cold=0.0):
+    record = ServerRecord(
+        name, 1, "s", Address("127.0.0.1", 1), zone, 6, False, cold=cold
+    )
+    return BalancedServer(record, OWN_PROTOCOL, now, is_new)
+
+
+def make_request(idempotent=False, now=0.0, kilobytes=9.0):
+    route = PublishedRoute(
+        "r", "h", "/", idempotent, 5.0, 2.0, Rank.BULK, 2, (RouteShare("s", 1.0),)
+    )
+    return RoutedRequest(
+        b"1",
+        "GET",
+        "/",
+        [],
+        b"",
+        route,
+        "s",
+        now,
+        now + 5.0,
+        kilobytes=kilobytes,
+    )
+
+
+def make_sure(server, now=0.0):
+    for _ in range(3):
+        server.observe(now, Observation.SERVED)
+    return server
+
+
+@then("one failure at once puts a server behind every other, for 5 seconds")
+def check_failure(context):
+    failed, usual = make_sure(make_server("failed", now=-0.3), -0.3), make_server("u")
+    failed.observe(0.0, Observation.FAILED_FAST)
+    for now in (0.0, 2.0, 5.0):
+        assert failed.belief.measure_failure(now) > usual.belief.measure_failure(now)
+    assert failed.belief.measure_failure(0.0) > 0.5
+
+
+@then("without observations the chance of a failure returns to the usual one")
+def check_return(context):
+    failed, usual = make_server("failed"), make_server("usual")
+    failed.observe(0.0, Observation.FAILED_FAST)
+    distance = failed.belief.measure_failure(60.0) - usual.belief.measure_failure(60.0)
+    assert abs(distance) < 0.01
+
+
+@then("any sequence of observations keeps the chance of a failure between 0 and 1")
+def check_bounds(context):
+    @for_all(st.lists(st.tuples(st.floats(0, 60), OBSERVATIONS), max_size=60))
+    def check(events):
+        belief, now = Belief(0.0), 0.0
+        for pause, observation in events:
+            now += pause
+            belief.observe(now, observation)
+            assert 0.0 < belief.measure_failure(now) < 1.0
+            assert 0.0 < belief.measure_sick(now) < 1.001
+
+    check()
+
+
+@then("after any sequence some successes make the server sound again")
+def check_recovery(context):
+    @for_all(st.lists(OBSERVATIONS, max_size=60))
+    def check(events):
+        belief = Belief(0.0)
+        for observation in events:
+            belief.observe(0.0, observation)
+        for _ in range(25):
+            belief.observe(0.0, Observation.SERVED)
+        assert belief.measure_failure(0.0) < 0.05
+
+    check()
+
+
+@then("a success of an earlier request leaves the chance of a failure as it is")
+def check_earlier(context):
+    server = make_server("a")
+    server.observe(1.0, Observation.FAILED_FAST)
+    before = server.belief.measure_failure(1.2)
+    assert server.observe_answer(1.2, 0.7, EXPECTED, failed=False) is None
+    assert server.belief.measure_failure(1.2) == before
+
+
+@then("a request that started later and has not failed at once lowers it")
+def check_later(context):
+    server = make_server("a")
+    server.observe(1.0, Observation.FAILED_FAST)
+    server.begin(1, 0.9, EXPECTED)
+    server.begin(2, 1.1, EXPECTED)
+    assert server.count_started(1.3) == 1
+    doubt = server.belief.measure_failure(1.3)
+    assert server.belief.measure_failure(1.3, server.count_started(1.3)) < doubt
+
+
+@then("one slow failure makes a server less doubtful than one failure at once")
+def check_slow_failure(context):
+    fast, slow = make_sure(make_server("fast")), make_sure(make_server("slow"))
+    fast.observe_answer(1.0, 0.99, EXPECTED, failed=True)
+    slow.observe_answer(1.0, 0.5, EXPECTED, failed=True)
+    assert slow.belief.measure_failure(1.0) < 0.25 < fast.belief.measure_failure(1.0)
+
+
+@then("a warm new server is chosen before sure ones, and only until its first request")
+def check_new(context):
+    sure, new = make_sure(make_server("sure")), make_server("new", is_new=True)
+    chosen = choose_server([sure, new], make_request(), 0.1, "here")
+    assert chosen is new
+    new.begin(1, 0.1, EXPECTED)
+    assert choose_server([sure, new], make_request(), 0.1, "here") is sure
+
+
+@then("a cold new server is not")
+def check_cold(context):
+    sure, new = make_sure(make_server("sure")), make_server("n", is_new=True, cold=3.0)
+    assert choose_server([sure, new], make_request(), 0.1, "here") is sure
+
+
+@then("a sound server of this zone is chosen before a sound one of another")
+def check_zone(context):
+    here, there = make_sure(make_server("a")), make_sure(make_server("b", "there"))
+    here.begin(1, 0.0, EXPECTED)
+    assert choose_server([there, here], make_request(), 0.1, "here") is here
+
+
+@then("a server of another zone is chosen when the one here fails at once")
+def check_other_zone(context):
+    here, there = make_sure(make_server("a")), make_sure(make_server("b", "there"))
+    here.observe(0.0, Observation.FAILED_FAST)
+    assert choose_server([there, here], make_request(), 0.1, "here") is there
+
+
+@then("a server with an overdue request costs more than one without")
+def check_overdue(context):
+    slow, other = make_sure(make_server("slow")), make_sure(make_server("other"))
+    slow.begin(1, 0.0, EXPECTED)
+    other.begin(1, 2.4, EXPECTED)
+    costs = [measure_cost(item, make_request(), 2.5, "here") for item in (slow, other)]
+    assert costs[0] > costs[1] + 0.1, costs
--- a/kumquatsaddle/testing/backends.py
+++ b/kumquatsaddle/testing/backends.py
@@ -13,6 +13,7 @@
 # Longest body in bytes that tests accept.
 MAX_ANSWER = 4096
 _REFUSE = b"HTTP/1.1 503 Shed\r\nBackend-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n"
+_STATUSES = {"failed": b"500 Failed", "misdirected": b"421 Misdirected Request"}
 _STRAY = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray"
 
 
@@ -23,7 +24,8 @@
     an informational answer), ``failed`` (status 500), ``refuse`` (unprocessed), ``cut``
     (after `number` bytes), ``close`` (without an answer), ``early`` (before the request
     is read), ``surplus`` (bytes after the end), ``stray`` (a second one), ``endless``
-    (no length), ``large`` (above `MAX_ANSWER`) and ``late`` (when `late` is set).
+    (no length), ``large`` (above `MAX_ANSWER`), ``misdirected`` (status 421) and
+    ``late`` (when `late` is set).
 
     Parameters
     ----------
@@ -108,7 +110,7 @@
 
 
 def _encode(kind, target, echo):
-    status = b"500 Failed" if kind == "failed" else b"200 OK"
+    status = _STATUSES.get(kind, b"200 OK")
     start = b"HTTP/1.1 " + status + b"\r\n" + echo
     if kind == "chunked":
         chunk = b"%x\r\n" % len(target) + target + b"\r\n0\r\n\r\n"
