Spread work over servers that are about equally sure; test connections

Costs in steps, the least recently used first; unused servers become cheaper while requests of their service fail.

--- a/kumquatsaddle/balance/choice.py
+++ b/kumquatsaddle/balance/choice.py
@@ -34,6 +34,10 @@
         Cost above which a request rather waits, at first.
     patience : float
         Share of the time of a request after which any server is acceptable.
+    unused : float
+        For each second beyond the first that a server got nothing while the service
+        fails requests. It is negative: the floor of servers in use is kept also when
+        the evidence on them is old.
     """
 
     load: float = 0.05
@@ -45,21 +49,45 @@
     repeatable: float = 0.4
     most_acceptable: float = 0.5
     patience: float = 0.5
+    unused: float = -0.5
 
 
 CHOICE_WEIGHTS = ChoiceWeights()
+# Costs that differ by less are the same: work spreads over all servers that are about
+# equally sure, so that the evidence on each stays recent.
+_COST_STEP = 0.05
+# Time in seconds that a server may be unused while its service fails requests, the
+# longest that counts beyond it, and the share of failed requests from which it does.
+_UNUSED_TIME, _LONGEST_UNUSED = 1.0, 2.0
+_FAILING_SHARE = 0.06
 # Requests beyond the slots that a server is given, by rank: they wait at the server.
 _OVERCOMMIT = {Rank.URGENT: 2, Rank.STANDARD: 0, Rank.BULK: 0}
 
 
-def measure_cost(server, request, now, zone, weights=CHOICE_WEIGHTS):
-    """Return the cost of sending a request to a server."""
+def measure_cost(server, request, now, zone, weights=CHOICE_WEIGHTS, failing=0.0):
+    """Return the cost of sending a request to a server.
+
+    Parameters
+    ----------
+    server : BalancedServer
+    request : RoutedRequest
+    now : float
+        On the clock of trio, in seconds.
+    zone : ZoneId
+        Of this instance.
+    weights : ChoiceWeights, optional
+    failing : float, default=0.0
+        Share of the latest requests of the service that were not served.
+    """
     record = server.record
     cost = server.belief.measure_failure(now, server.count_started(now))
     if request.idempotent and request.attempts_left:
         cost *= weights.repeatable
     cost += weights.load * server.load / record.slots
     cost += weights.slow * max(0.0, server.measure_pace(now) - 1.5)
+    unused = now - server.used_at - _UNUSED_TIME
+    if failing > _FAILING_SHARE and unused > 0:
+        cost += weights.unused * min(unused, _LONGEST_UNUSED)
     if record.zone != zone:
         cost += weights.other_zone + weights.other_zone_kilobyte * request.kilobytes
     if now < server.cold_until:
@@ -69,7 +97,15 @@
     return cost
 
 
-def choose_server(servers, request, now, zone, excluded=(), weights=CHOICE_WEIGHTS):
+def choose_server(
+    servers,
+    request,
+    now,
+    zone,
+    excluded=(),
+    weights=CHOICE_WEIGHTS,
+    failing=0.0,
+):
     """Return the cheapest server for a request, or None if it has to wait.
 
     Parameters
@@ -82,6 +118,9 @@
         Of this instance.
     excluded : collection of BackendId
         Servers that the request was sent to already.
+    weights : ChoiceWeights, optional
+    failing : float, default=0.0
+        Share of the latest requests of the service that were not served.
     """
     best, best_order = None, None
     limit = _measure_limit(request, now, weights)
@@ -90,11 +129,10 @@
             continue
         if server.load >= server.record.slots + _OVERCOMMIT[request.rank]:
             continue
-        cost = measure_cost(server, request, now, zone, weights)
+        cost = measure_cost(server, request, now, zone, weights, failing)
         if cost > limit:
             continue
-        # Among equals the one that waited longest, so that evidence spreads.
-        order = (round(cost, 2), server.last_chosen)
+        order = (round(cost / _COST_STEP), server.used_at)
         if best_order is None or order < best_order:
             best, best_order = server, order
     return best
--- a/kumquatsaddle/balance/pool.py
+++ b/kumquatsaddle/balance/pool.py
@@ -1,5 +1,7 @@
 """The backend servers of one service at one instance, and the requests that wait."""
 
+from collections import deque
+
 import trio
 
 from kumquatsaddle.balance.budget import RepeatBudget
@@ -10,6 +12,9 @@
 
 # Time in seconds between looks at waiting requests: their limits grow with time.
 _LOOK_INTERVAL = 0.05
+# Time in seconds for which results count, and the fewest that say something.
+_RESULTS_TIME = 3.0
+_FEWEST_RESULTS = 5
 
 
 class _Waiter:
@@ -41,7 +46,7 @@
         self._protocol = protocol
         self._times = times
         self._waiters = []
-        self._choices = 0
+        self._results = deque()
 
     def update(self, records):
         """Take over the listed servers; return those that are gone.
@@ -112,6 +117,19 @@
                 waiter.server = server
                 waiter.event.set()
 
+    def note_result(self, served):
+        """Note whether a request of a caller was served."""
+        self._results.append((trio.current_time(), served))
+
+    def _measure_failing(self, now):
+        """Return the share of the latest requests that were not served."""
+        while self._results and self._results[0][0] < now - _RESULTS_TIME:
+            self._results.popleft()
+        if len(self._results) < _FEWEST_RESULTS:
+            return 0.0
+        failed = sum(not served for _, served in self._results)
+        return failed / len(self._results)
+
     def waiting(self):
         """Return how many requests wait."""
         return len(self._waiters)
@@ -138,12 +156,15 @@
     def _choose(self, request, excluded):
         now = trio.current_time()
         server = choose_server(
-            self.servers.values(), request, now, self._zone, excluded
+            self.servers.values(),
+            request,
+            now,
+            self._zone,
+            excluded,
+            failing=self._measure_failing(now),
         )
         if server is None:
             return None
-        self._choices += 1
-        server.last_chosen = self._choices
         # Counted at once: the task of a waiting request runs only later.
         server.begin(id(request), now, self._times.measure(request.route))
         return server
--- a/kumquatsaddle/balance/servers.py
+++ b/kumquatsaddle/balance/servers.py
@@ -25,6 +25,8 @@
 # and the longest such time in seconds.
 _FAST_SHARE = 0.2
 _LONGEST_FAST = 0.06
+# Time in seconds that an observation is taken to lag behind the use of the server.
+_OBSERVED_DELAY = 0.5
 # Chance of being sick of a server that has just started, relative to the usual one.
 _NEW_PRIOR = 0.3
 # Times in seconds that a server is avoided after a failed connection.
@@ -51,6 +53,8 @@
         What this instance has observed since it knows the server.
     untried : bool
         Whether no instance is known to have sent it a request.
+    used_at : float
+        When it got its latest known request, on the clock of trio in seconds.
     """
 
     def __init__(self, record, protocol, now, is_new=False):
@@ -67,7 +71,7 @@
         self.gone = False
         self._failed_at = float("-inf")
         self.cold_until = now + record.cold
-        self.last_chosen = 0
+        self.used_at = now if is_new else float("-inf")
         self._peer_loads = {}
         self._peer_started = {}
         self._peer_total = 0
@@ -111,6 +115,8 @@
         known = self._peer_loads.get(instance, 0)
         if load == known:
             return False
+        if load > known:
+            self.used_at = trio.current_time()
         if load:
             self.untried = False
             self._peer_loads[instance] = load
@@ -126,6 +132,7 @@
     def begin(self, key, now, expected):
         """Note that a request starts; `expected` is its usual time in seconds."""
         self.own_load += 1
+        self.used_at = now
         self.untried = False
         self._started[key] = (now, expected)
 
@@ -179,6 +186,7 @@
     def observe(self, now, observation):
         """Add an observation, made here or by another instance, to the evidence."""
         self.untried = False
+        self.used_at = max(self.used_at, now - _OBSERVED_DELAY)
         if observation is Observation.FAILED_FAST:
             self._failed_at = now
             self._peer_started.clear()
--- a/kumquatsaddle/dispatch/tests/exchange.feature
+++ b/kumquatsaddle/dispatch/tests/exchange.feature
@@ -32,3 +32,22 @@
   Scenario: Too many bytes or too many informational answers
     # Guards against memory and time that a server can claim without bound.
     Then a long answer and endless informational answers are errors
+
+  Scenario: An answer to another request before the own one
+    # Guards against a late second answer that costs the next request its answer.
+    Then a stray answer is skipped where the protocol says so, at any split of bytes
+
+  Scenario: An answer that ends with its connection
+    # Guards against whole answers that are thrown away for lack of a length, and
+    # against a reset that passes for the end.
+    Then an unframed answer is whole after an orderly end where the protocol allows it
+    And an unframed answer whose connection is reset is an error
+
+  Scenario: An answer before the request is read
+    # Guards against a wait for a server that answers first and reads on later, and
+    # against other bytes where the rest of the request is due.
+    Then an early answer is returned and its connection is not reused
+
+  Scenario: The time for which a server keeps a connection
+    # Guards against requests on connections that the server is about to close.
+    Then the time-out of the Keep-Alive header is kept with the connection
--- a/kumquatsaddle/dispatch/tests/steps/exchange.py
+++ b/kumquatsaddle/dispatch/tests/steps/exchange.py
@@ -3,6 +3,7 @@
 from behave import then
 
 from kumquatsaddle.dispatch.connections import BackendConnection, ExchangeError
+from kumquatsaddle.dispatch.protocol import BackendProtocol
 from kumquatsaddle.exceptions import KumquatsaddleError
 from kumquatsaddle.types import RefusalReason
 
@@ -220,3 +221,95 @@
     hints = [b"HTTP/1.1 103 Early Hints\r\n\r\n"] * 100
     error = await expect_error(ScriptedStream(hints))
     assert error.reason is RefusalReason.ANSWER_LOST
+
+
+PLATFORM = BackendProtocol(
+    request_id=b"x-id", deadline=b"x-ms", allows_unframed=True, skips_strays=True
+)
+STRAY = OK + b"X-Id: other\r\nContent-Length: 5\r\n\r\nstray"
+OWN = OK + b"X-Id: own\r\nContent-Length: 3\r\n\r\nown"
+UNFRAMED = OK + b"X-Id: own\r\n\r\nhello"
+
+
+class BrokenStream(ScriptedStream):
+    """Resets the connection after its script."""
+
+    async def receive_some(self, _):
+        await trio.lowlevel.checkpoint()
+        if self.unread:
+            return self.unread.pop(0)
+        raise trio.BrokenResourceError
+
+
+class UnreadStream(ScriptedStream):
+    """Answers before it has read the request, and never reads the rest of it."""
+
+    async def send_all(self, data):
+        self.sent += data[:1000]
+        self.unread += self.scripts.pop(0)
+        await trio.sleep_forever()
+
+    async def receive_some(self, _):
+        while not self.unread:
+            await trio.sleep(0.01)
+        return self.unread.pop(0)
+
+
+async def send_own(stream, body=b""):
+    connection = BackendConnection(stream, PLATFORM)
+    length = str(len(body)).encode()
+    headers = [(b"host", b"b"), (b"x-id", b"own"), (b"content-length", length)]
+    answer = await connection.exchange(
+        "POST", "/", headers, body, MAX_BODY, lambda: None
+    )
+    return connection, answer
+
+
+@then_async(
+    "a stray answer is skipped where the protocol says so, at any split of bytes"
+)
+async def check_stray():
+    for split in (in_bytes(STRAY + OWN), [STRAY + OWN], [STRAY, OWN]):
+        connection, answer = await send_own(ScriptedStream(split))
+        assert answer.body == b"own"
+        assert connection.is_reusable()
+    error = None
+    try:
+        await send_own(ScriptedStream([STRAY], ends=True))
+    except ExchangeError as caught:
+        error = caught
+    assert error is not None and error.written
+
+
+@then_async(
+    "an unframed answer is whole after an orderly end where the protocol allows it"
+)
+async def check_unframed():
+    connection, answer = await send_own(ScriptedStream([UNFRAMED], ends=True))
+    assert answer.body == b"hello"
+    assert not connection.is_reusable()
+
+
+@then_async("an unframed answer whose connection is reset is an error")
+async def check_reset():
+    try:
+        await send_own(BrokenStream([UNFRAMED]))
+    except ExchangeError as error:
+        assert error.written and error.answered
+        return
+    raise AssertionError("a reset passed for the end")
+
+
+@then_async("an early answer is returned and its connection is not reused")
+async def check_early():
+    connection, answer = await send_own(UnreadStream([OWN]), b"x" * 20000)
+    assert answer.body == b"own"
+    assert not connection.is_reusable()
+
+
+@then_async("the time-out of the Keep-Alive header is kept with the connection")
+async def check_keep_alive():
+    kept = OWN.replace(b"X-Id", b"Keep-Alive: timeout=7\r\nX-Id")
+    connection, answer = await send_own(ScriptedStream([kept]))
+    assert connection.keep_alive == 7.0
+    assert answer.get_header(b"keep-alive") is None
