--- a/kumquatsaddle/balance/choice.py
+++ b/kumquatsaddle/balance/choice.py
@@ -36,8 +36,8 @@
         Share of the time of a request after which any server is acceptable.
     unused : float
         For each second beyond the first that a server got nothing while the service
-        fails requests. It is negative: the floor of servers in use is kept also when
-        the evidence on them is old.
+        explores. It is negative: the floor of servers in use is kept also when the
+        evidence on them is old.
     """
 
     load: float = 0.05
@@ -56,15 +56,14 @@
 # Costs that differ by less are the same: work spreads over all servers that are about
 # equally sure, so that the evidence on each stays recent.
 _COST_STEP = 0.05
-# Time in seconds that a server may be unused while its service fails requests, the
-# longest that counts beyond it, and the share of failed requests from which it does.
-_UNUSED_TIME, _LONGEST_UNUSED = 1.0, 2.0
-_FAILING_SHARE = 0.06
+# Time in seconds that a server may be unused while its service explores, and the
+# longest that counts beyond it.
+_UNUSED_TIME, _LONGEST_UNUSED = 1.0, 1.2
 # Requests beyond the slots that a server is given, by rank: they wait at the server.
 _OVERCOMMIT = {Rank.URGENT: 2, Rank.STANDARD: 0, Rank.BULK: 0}
 
 
-def measure_cost(server, request, now, zone, weights=CHOICE_WEIGHTS, failing=0.0):
+def measure_cost(server, request, now, zone, weights=CHOICE_WEIGHTS, explores=False):
     """Return the cost of sending a request to a server.
 
     Parameters
@@ -76,8 +75,8 @@
     zone : ZoneId
         Of this instance.
     weights : ChoiceWeights, optional
-    failing : float, default=0.0
-        Share of the latest requests of the service that were not served.
+    explores : bool, default=False
+        Whether servers that are not in use have to be tried.
     """
     record = server.record
     cost = server.belief.measure_failure(now, server.count_started(now))
@@ -86,7 +85,7 @@
     cost += weights.load * server.load / record.slots
     cost += weights.slow * max(0.0, server.measure_pace(now) - 1.5)
     unused = now - server.used_at - _UNUSED_TIME
-    if failing > _FAILING_SHARE and unused > 0:
+    if explores and unused > 0:
         cost += weights.unused * min(unused, _LONGEST_UNUSED)
     if record.zone != zone:
         cost += weights.other_zone + weights.other_zone_kilobyte * request.kilobytes
@@ -104,7 +103,7 @@
     zone,
     excluded=(),
     weights=CHOICE_WEIGHTS,
-    failing=0.0,
+    explores=False,
 ):
     """Return the cheapest server for a request, or None if it has to wait.
 
@@ -119,8 +118,8 @@
     excluded : collection of BackendId
         Servers that the request was sent to already.
     weights : ChoiceWeights, optional
-    failing : float, default=0.0
-        Share of the latest requests of the service that were not served.
+    explores : bool, default=False
+        Whether servers that are not in use have to be tried.
     """
     best, best_order = None, None
     limit = _measure_limit(request, now, weights)
@@ -129,7 +128,7 @@
             continue
         if server.load >= server.record.slots + _OVERCOMMIT[request.rank]:
             continue
-        cost = measure_cost(server, request, now, zone, weights, failing)
+        cost = measure_cost(server, request, now, zone, weights, explores)
         if cost > limit:
             continue
         order = (round(cost / _COST_STEP), server.used_at)
--- a/kumquatsaddle/balance/pool.py
+++ b/kumquatsaddle/balance/pool.py
@@ -12,6 +12,10 @@
 
 # Time in seconds between looks at waiting requests: their limits grow with time.
 _LOOK_INTERVAL = 0.05
+# Share of failed requests from which a service explores, and the share of its servers
+# in this zone that are kept in use, with the time in seconds for which a use counts.
+_FAILING_SHARE = 0.06
+_LEAST_USED_SHARE, _USED_TIME = 0.75, 1.7
 # Time in seconds for which results count, and the fewest that say something.
 _RESULTS_TIME = 3.0
 _FEWEST_RESULTS = 5
@@ -121,6 +125,22 @@
         """Note whether a request of a caller was served."""
         self._results.append((trio.current_time(), served))
 
+    def _must_explore(self, now):
+        """Return whether servers that are not in use have to be tried.
+
+        A server that recovered is not seen to be sound until it is tried, so the
+        floor of servers in use could fall for lack of evidence alone.
+        """
+        if self._measure_failing(now) > _FAILING_SHARE:
+            return True
+        usable = [
+            server
+            for server in self.servers.values()
+            if server.record.zone == self._zone and server.is_open(now)
+        ]
+        used = sum(now - server.used_at < _USED_TIME for server in usable)
+        return used < _LEAST_USED_SHARE * len(usable)
+
     def _measure_failing(self, now):
         """Return the share of the latest requests that were not served."""
         while self._results and self._results[0][0] < now - _RESULTS_TIME:
@@ -161,7 +181,7 @@
             now,
             self._zone,
             excluded,
-            failing=self._measure_failing(now),
+            explores=self._must_explore(now),
         )
         if server is None:
             return None
--- a/kumquatsaddle/balance/tests/evidence.feature
+++ b/kumquatsaddle/balance/tests/evidence.feature
@@ -32,3 +32,10 @@
   Scenario: A slow server is passed over before its answer comes
     # Guards against requests that pile up at a server that hangs.
     Then a server with an overdue request costs more than one without
+
+  Scenario: The floor of servers in use is kept when evidence is old
+    # Guards against recovered servers that get nothing because they failed before
+    # (FLOOR broken on baytsughra-gw trouble-1 and wmpsa-gw fresh-a556).
+    Given a pool of 8 servers of which 4 failed at once and recovered
+    When 40 requests a second are served for 8 seconds
+    Then in the last 2 seconds at least 6 servers got requests
--- a/kumquatsaddle/balance/tests/steps/evidence.py
+++ b/kumquatsaddle/balance/tests/steps/evidence.py
@@ -1,9 +1,14 @@
-from behave import then
+import trio
+import trio.testing
+from behave import given, then, when
 from hypothesis import given as for_all
 from hypothesis import strategies as st
 
+from kumquatsaddle.balance.baseline import RouteTimes
 from kumquatsaddle.balance.beliefs import Belief, Observation
+from kumquatsaddle.balance.budget import RepeatTerms
 from kumquatsaddle.balance.choice import choose_server, measure_cost
+from kumquatsaddle.balance.pool import BalancedPool
 from kumquatsaddle.balance.requests import RoutedRequest
 from kumquatsaddle.balance.servers import BalancedServer
 from kumquatsaddle.discovery.records import ServerRecord
@@ -159,3 +164,45 @@
     other.begin(1, 2.4, EXPECTED)
     costs = [measure_cost(item, make_request(), 2.5, "here") for item in (slow, other)]
     assert costs[0] > costs[1] + 0.1, costs
+
+
+@given("a pool of {count:d} servers of which {failed:d} failed at once and recovered")
+def prepare_pool(context, count, failed):
+    context.server_count, context.failed_count = count, failed
+
+
+@when("{rate:d} requests a second are served for {seconds:d} seconds")
+def serve(context, rate, seconds):
+    context.uses = []
+
+    async def run():
+        pool = BalancedPool("here", OWN_PROTOCOL, RepeatTerms(0.1, 1, 10), RouteTimes())
+        records = [make_server(f"s{number}").record for number in range(context.server_count)]
+        pool.update({record.name: record for record in records})
+        for server in list(pool.servers.values())[: context.failed_count]:
+            server.observe(trio.current_time(), Observation.FAILED_FAST)
+        async with trio.open_nursery() as nursery:
+            for _ in range(rate * seconds):
+                nursery.start_soon(serve_one, context, pool)
+                await trio.sleep(1 / rate)
+
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    trio.run(run, clock=clock)
+
+
+async def serve_one(context, pool):
+    started = trio.current_time()
+    request = make_request(now=started)
+    server = await pool.take_server(request, frozenset(), request.deadline)
+    context.uses.append((started, server.name))
+    await trio.sleep(0.05)
+    server.observe_answer(trio.current_time(), started, EXPECTED, failed=False)
+    pool.release(server, request)
+    pool.note_result(True)
+
+
+@then("in the last {seconds:d} seconds at least {least:d} servers got requests")
+def check_used(context, seconds, least):
+    end = max(time for time, _ in context.uses)
+    used = {name for time, name in context.uses if time > end - seconds}
+    assert len(used) >= least, used
