--- a/kumquatsaddle/balance/tests/steps/evidence.py
+++ b/kumquatsaddle/balance/tests/steps/evidence.py
@@ -177,7 +177,9 @@
 
     async def run():
         pool = BalancedPool("here", OWN_PROTOCOL, RepeatTerms(0.1, 1, 10), RouteTimes())
-        records = [make_server(f"s{number}").record for number in range(context.server_count)]
+        records = [
+            make_server(f"s{number}").record for number in range(context.server_count)
+        ]
         pool.update({record.name: record for record in records})
         for server in list(pool.servers.values())[: context.failed_count]:
             server.observe(trio.current_time(), Observation.FAILED_FAST)
--- /dev/null
+++ b/kumquatsaddle/discovery/tests/steps/follower.py
@@ -0,0 +1,200 @@
+from dataclasses import replace
+
+import trio
+import trio.testing
+from behave import given, then, when
+
+from kumquatsaddle.discovery.follower import make_follower
+from kumquatsaddle.discovery.records import InstanceRecord, ServerRecord
+from kumquatsaddle.discovery.servers import ListedRow
+from kumquatsaddle.discovery.store import RouteRow, Snapshot
+from kumquatsaddle.exceptions import ConfigurationError, HistoryLostError
+from kumquatsaddle.routes import make_route_table
+from kumquatsaddle.settings.parsers import Address
+from kumquatsaddle.sharing.messages import Report
+from kumquatsaddle.sharing.peers import PeerTable
+
+RECORD = ServerRecord("a", 1, "s", Address("127.0.0.1", 1), "z", 6, False)
+
+
+def make_instance(name):
+    address = Address("127.0.0.1", 2)
+    return InstanceRecord(name, "z", address, address)
+
+
+class Store:
+    """A store in memory whose watches wait on the clock of the test."""
+
+    def __init__(self):
+        self.version = 1
+        self.kept_from = 0
+        self.rows = [ListedRow("a", 1, RECORD)]
+        self.routes = [RouteRow(1, b"7")]
+        self.calls = []
+
+    def publish(self, draining=None, routes=None):
+        self.version += 1
+        if draining is not None:
+            record = replace(RECORD, draining=draining)
+            self.rows = [ListedRow("a", self.version, record)]
+        if routes is not None:
+            self.routes = [RouteRow(self.version, routes)]
+
+    async def read_servers(self):
+        return self._read(self.rows)
+
+    async def read_routes(self):
+        return self._read(self.routes)
+
+    async def watch_servers(self, after, wait):
+        return await self._watch(lambda: self.rows, after, wait)
+
+    async def watch_routes(self, after, wait):
+        return await self._watch(lambda: self.routes, after, wait)
+
+    def parse_routes(self, text):
+        if not text.isdigit():
+            raise ConfigurationError("is broken")
+        return make_route_table(int(text), [], {})
+
+    def _read(self, rows):
+        self.calls.append(trio.current_time())
+        return Snapshot(list(rows), self.version)
+
+    async def _watch(self, find_rows, after, wait):
+        self.calls.append(trio.current_time())
+        end = trio.current_time() + wait
+        while True:
+            if after < self.kept_from:
+                raise HistoryLostError("gone")
+            new = [row for row in find_rows() if row.version > after]
+            if new or trio.current_time() >= end:
+                return Snapshot(new, self.version)
+            await trio.sleep(0.05)
+
+
+class Scene:
+    """One follower, its peers and its store; actions are played in order."""
+
+    def __init__(self):
+        self.store = Store()
+        self.peers = PeerTable(make_instance("m"))
+        self.actions = []
+        self.results = {}
+        self.peer_reports = False
+
+    async def play(self):
+        async def take(records):
+            self.results["servers"] = records
+
+        follower = make_follower(self.store, self.peers, take, lambda routes: None)
+        self.follower = follower
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._report)
+            nursery.start_soon(follower.run)
+            for action in self.actions:
+                await action()
+            nursery.cancel_scope.cancel()
+
+    async def _report(self):
+        sequence = 0
+        while True:
+            sequence += 1
+            if self.peer_reports:
+                report = Report(
+                    make_instance("b"),
+                    1,
+                    sequence,
+                    True,
+                    False,
+                    1,
+                    1,
+                    0.5,
+                    (),
+                    interval=0.4,
+                )
+                self.peers.note_report(report, trio.current_time())
+            self.peers.expire(trio.current_time())
+            await trio.sleep(0.4)
+
+
+def play(context):
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    trio.run(context.scene.play, clock=clock)
+    return context.scene
+
+
+@given("a follower without peers")
+def prepare_alone(context):
+    context.scene = Scene()
+
+
+@given("a follower with a peer that reads the store")
+def prepare_with_peer(context):
+    context.scene = Scene()
+    context.scene.peer_reports = True
+
+
+@when("{seconds:d} seconds pass")
+def pass_time(context, seconds):
+    context.scene.actions.append(lambda: trio.sleep(seconds))
+
+
+@when("the peer falls silent and a server drains")
+def silence(context):
+    async def act():
+        context.scene.peer_reports = False
+        context.scene.store.publish(draining=True)
+
+    context.scene.actions.append(act)
+
+
+@when("the store loses its history and a server drains")
+def lose_history(context):
+    async def act():
+        context.scene.store.publish(draining=True)
+        context.scene.store.kept_from = context.scene.store.version
+
+    context.scene.actions.append(act)
+
+
+@when("an older version and a broken one are published")
+def publish_bad(context):
+    async def act():
+        for text in (b"6", b"broken"):
+            context.scene.store.publish(routes=text)
+            await trio.sleep(2)
+
+    context.scene.actions.append(act)
+
+
+@then("it has the routes and the servers")
+def check_ready(context):
+    scene = play(context)
+    assert scene.follower.is_ready()
+    assert scene.follower.routes.version == 7
+    assert [record.name for record in scene.results["servers"]] == ["a"]
+
+
+@then("it has called the store in the last second")
+def check_called(context):
+    calls = context.scene.store.calls
+    assert calls[-1] > 1.9, calls
+
+
+@then("it has not called the store in the last 3 seconds")
+def check_not_called(context):
+    calls = play(context).store.calls
+    assert calls and calls[-1] < 3.0, calls
+
+
+@then("the follower knows of the drain within 2 seconds")
+def check_drain(context):
+    context.scene.actions.append(lambda: trio.sleep(2))
+    scene = play(context)
+    assert [record.draining for record in scene.results["servers"]] == [True]
+
+
+@then("the follower keeps the version that it had")
+def check_kept(context):
+    assert play(context).follower.routes.version == 7
