--- a/kumquatsaddle/balance/choice.py
+++ b/kumquatsaddle/balance/choice.py
@@ -41,7 +41,7 @@
     """
 
     load: float = 0.05
-    other_zone: float = 0.03
+    other_zone: float = 0.06
     other_zone_kilobyte: float = 0.018
     slow: float = 0.15
     cold: float = 0.1
--- a/kumquatsaddle/balance/pool.py
+++ b/kumquatsaddle/balance/pool.py
@@ -89,8 +89,10 @@
         Returns
         -------
         BalancedServer or None
-            None if none had room in time.
+            None if none had room in time, or at once if no server can be asked.
         """
+        if not any(server.is_listed() for server in self.servers.values()):
+            return None
         server = None
         if not self._is_behind(request):
             server = self._choose(request, excluded)
--- a/kumquatsaddle/balance/servers.py
+++ b/kumquatsaddle/balance/servers.py
@@ -217,10 +217,14 @@
         self._unreachable_until = now + _UNREACHABLE_PAUSES[step]
         self._failed_connects += 1
 
+    def is_listed(self):
+        """Return whether the server is there and does not leave."""
+        return not self.gone and not self.record.draining
+
     def is_open(self, now):
-        """Return whether the server may be asked at all."""
+        """Return whether the server may be asked now."""
         paused = max(self._unreachable_until, self._full_until)
-        return not self.gone and not self.record.draining and now >= paused
+        return self.is_listed() and now >= paused
 
     async def take_connection(self, idempotent):
         """Return a connection for a request, idle or new.
