--- a/kumquatsaddle/balance/dispatcher.py
+++ b/kumquatsaddle/balance/dispatcher.py
@@ -316,8 +316,10 @@
 
     def _log(self, request, pool, trail, answer):
         now = trio.current_time()
+        served = answer.outcome is Outcome.DONE and answer.status < 500
         log_event(
             "request",
+            level="INFO" if served else "WARNING",
             id=request.request_id.decode("latin-1"),
             route=request.route.name,
             service=request.service,
--- a/kumquatsaddle/balance/servers.py
+++ b/kumquatsaddle/balance/servers.py
@@ -4,6 +4,7 @@
 
 from kumquatsaddle.balance.beliefs import Belief, Observation
 from kumquatsaddle.dispatch.connections import open_connection
+from kumquatsaddle.logs import log_event
 
 __all__ = ["BalancedServer"]
 
@@ -27,6 +28,9 @@
 _LONGEST_FAST = 0.06
 # Time in seconds that an observation is taken to lag behind the use of the server.
 _OBSERVED_DELAY = 0.5
+# Chance of a failure above which a server is logged as doubted, and below which as
+# trusted again.
+_DOUBTED, _SURE = 0.3, 0.08
 # Chance of being sick of a server that has just started, relative to the usual one.
 _NEW_PRIOR = 0.3
 # Times in seconds that a server is avoided after a failed connection.
@@ -69,6 +73,7 @@
         }
         self.untried = is_new
         self.gone = False
+        self._doubted = False
         self._failed_at = float("-inf")
         self.cold_until = now + record.cold
         self.used_at = now if is_new else float("-inf")
@@ -190,7 +195,25 @@
         if observation is Observation.FAILED_FAST:
             self._failed_at = now
             self._peer_started.clear()
+        before = self.belief.measure_failure(now)
         self.belief.observe(now, observation)
+        self._note_doubt(now, observation, before)
+
+    def _note_doubt(self, now, observation, before):
+        """Log when the server becomes doubtful and when it no longer is."""
+        after = self.belief.measure_failure(now)
+        doubted = after > (_SURE if self._doubted else _DOUBTED)
+        if doubted != self._doubted:
+            self._doubted = doubted
+            log_event(
+                "backend_doubted" if doubted else "backend_trusted",
+                backend=self.name,
+                service=self.record.service,
+                observation=observation.value,
+                before=round(before, 3),
+                after=round(after, 3),
+                load=self.load,
+            )
 
     def note_pace(self, now, ratio):
         """Add an answer that took `ratio` times its usual time."""
--- a/kumquatsaddle/tests/logs.feature
+++ b/kumquatsaddle/tests/logs.feature
@@ -23,3 +23,16 @@
   Scenario: Labels neither break the format nor grow without bound
     # Guards against input from outside in labels.
     Then any label value is one valid line and label sets are bounded
+
+  Scenario: A full pipe never holds the process up
+    # Guards against an event loop that waits for the reader of its log.
+    Given a bounded sink on a pipe that nobody reads
+    When 5000 lines are written over 100 seconds
+    Then no call has waited and the pipe holds whole lines
+    And the dropped lines are counted in a line once the pipe is read
+
+  Scenario: The volume of the log is bounded
+    # Guards against a log that grows with a flood.
+    Given a bounded sink on a pipe that nobody reads
+    When 5000 lines are written over 1 seconds
+    Then at most 500 lines are in the pipe
