Test reports between instances; divide repeats by the listed instances

The budget of repeats was divided by the instances listed at the first look, when most had not registered yet; a second look follows after 4 s, and 64 are assumed before the first. Silent peers get every second heartbeat in place of every fifth, so a cut that heals is noticed within 2 s. The first urgent summary of a new speaker counts; its failure was taken for an old one. Fetches move to a module of their own.

--- a/kumquatsaddle/lifecycle/routed_node.py
+++ b/kumquatsaddle/lifecycle/routed_node.py
@@ -32,8 +32,12 @@
 
 __all__ = ["DeploymentParts", "RoutedNode", "make_routed_node"]
 
-# Pause in seconds between attempts to register.
+# Pause in seconds between attempts to register, and time until the other instances
+# are listed again.
 _REGISTER_PAUSE = 0.5
+_SECOND_LOOK = 4.0
+# Instances among which repeats are divided before the others are listed.
+_ASSUMED_INSTANCES = 64
 # Time in seconds between reports to the first contacts until a peer is heard.
 _JOIN_INTERVAL = 0.3
 # Time in seconds between looks at the settings file.
@@ -114,6 +118,7 @@
             settings.get("repeats", "allowance"),
             settings.get("repeats", "window"),
         )
+        self.dispatcher.terms.instances = _ASSUMED_INSTANCES
         self.follower = make_follower(
             parts.store, self.peers, self._update_servers, self._update_routes
         )
@@ -225,21 +230,27 @@
 
     async def _register(self):
         """Write the own entry and read those of the others."""
+        await self._call_store(self._store.register_instance, self.own)
+        # The others register at about the same time; the second look finds them all.
+        for pause in (0.0, _SECOND_LOOK):
+            await trio.sleep(pause)
+            records = await self._call_store(self._store.list_instances)
+            now = trio.current_time()
+            for record in records:
+                self.peers.add_instance(record, now)
+            self.dispatcher.terms.instances = len(self.peers.instances)
+            log_event("instances_listed", instances=len(records))
+            peers = [peer.record.control for peer in self.peers.peers.values()]
+            await self.exchange.introduce(peers)
+
+    async def _call_store(self, call, *arguments):
+        """Return the result of a call to the store, repeated until it works."""
         while True:
             try:
-                await self._store.register_instance(self.own)
-                records = await self._store.list_instances()
-                break
+                return await call(*arguments)
             except PlatformUnavailableError as error:
                 log_event("registration_failed", level="WARNING", error=error)
                 await trio.sleep(_REGISTER_PAUSE)
-        now = trio.current_time()
-        for record in records:
-            self.peers.add_instance(record, now)
-        self.dispatcher.terms.instances = len(self.peers.instances)
-        log_event("registered", instances=len(records))
-        peers = [peer.record.control for peer in self.peers.peers.values()]
-        await self.exchange.introduce(peers)
 
     async def _join(self):
         """Ask the first contacts of the settings until a peer is heard."""
--- a/kumquatsaddle/sharing/exchange.py
+++ b/kumquatsaddle/sharing/exchange.py
@@ -11,19 +11,14 @@
 
 from kumquatsaddle.balance.beliefs import Observation
 from kumquatsaddle.exceptions import MessageError
-from kumquatsaddle.logs import log_event
-from kumquatsaddle.messages.frames import FrameReader, write_frame
+from kumquatsaddle.sharing.fetches import fetch_update, serve_fetch
 from kumquatsaddle.sharing.messages import (
     COUNTED,
     Fetch,
     Report,
     ServerLoad,
-    decode_fetch,
     decode_report,
-    decode_update,
-    encode_fetch,
     encode_report,
-    encode_update,
 )
 from kumquatsaddle.sharing.summaries import ZoneTotals, ZoneViews, choose_recipients
 
@@ -42,13 +37,10 @@
 # Time in seconds for which a server is reported after its last change.
 _REPORTED_TIME = 2.0
 # Heartbeats between two reports to a peer that is silent.
-_SILENT_ROUNDS = 5
+_SILENT_ROUNDS = 2
 _DATAGRAM_BYTES = 65536
 # Loads in one datagram; the busiest servers go first.
 _MOST_LOADS = 200
-# Time in seconds for one frame to arrive.
-_FRAME_TIMEOUT = 1.0
-_FETCH_BYTES = 4096
 # Observations of one kind in one report that count as evidence on a server.
 _MOST_COUNTED = 5
 _BACKLOG = 256
@@ -130,17 +122,7 @@
             If it does not answer in time or with something else.
         """
         fetch = Fetch(self.peers.own.name, routes_after, servers_after)
-        try:
-            with trio.fail_after(timeout):
-                stream = await trio.open_tcp_stream(address.host, address.port)
-                async with stream:
-                    await write_frame(stream, encode_fetch(fetch))
-                    data = await FrameReader(stream).read()
-        except (OSError, trio.TooSlowError, trio.BrokenResourceError) as error:
-            raise MessageError(f"{address}: {error!r}") from None
-        if data is None:
-            raise MessageError(f"{address}: no answer")
-        return decode_update(data)
+        return await fetch_update(address, fetch, timeout)
 
     def _drop_loads(self, key):
         """Drop the loads of a peer or zone that has fallen silent."""
@@ -376,17 +358,7 @@
                 pool.wake()
 
     async def _serve_fetch(self, stream):
-        try:
-            with trio.move_on_after(_FRAME_TIMEOUT):
-                data = await FrameReader(stream, _FETCH_BYTES).read()
-                if data is not None:
-                    update = self._view.make_update(decode_fetch(data))
-                    await write_frame(stream, encode_update(update))
-        except (MessageError, trio.BrokenResourceError) as error:
-            self._metrics.count("messages_rejected", reason=type(error).__name__)
-            log_event("fetch_failed", level="WARNING", error=error)
-        finally:
-            await trio.aclose_forcefully(stream)
+        await serve_fetch(stream, self._view.make_update, self._metrics)
 
 
 def make_zone_exchange(peers, dispatcher, view, metrics):
--- a/kumquatsaddle/sharing/summaries.py
+++ b/kumquatsaddle/sharing/summaries.py
@@ -80,8 +80,12 @@
         if same and report.sequence <= known.sequence:
             return False
         if not same:
-            # Totals of another speaker start from its own observations.
-            self._counts[zone] = {load.server: load.counts for load in report.loads}
+            # Totals of another speaker start from its own observations. An urgent
+            # summary tells of a failure that has just been seen.
+            self._counts[zone] = {
+                load.server: _take_back(load.counts) if report.partial else load.counts
+                for load in report.loads
+            }
         self.senders[zone] = report
         self._heard[zone] = now
         return True
@@ -126,3 +130,11 @@
         if speaker is None or is_urgent:
             recipients.append(random.choice(records))
     return recipients
+
+
+def _take_back(counts):
+    """Return totals without the latest failure at once."""
+    return tuple(
+        max(0, count - (kind is Observation.FAILED_FAST))
+        for kind, count in zip(COUNTED, counts, strict=True)
+    )
--- /dev/null
+++ b/kumquatsaddle/sharing/tests/exchange.feature
@@ -0,0 +1,25 @@
+Feature: Reports between instances
+
+  Scenario: Messages read back as they were written
+    # Guards against fields that are lost or mixed up on the way.
+    Then any report, fetch and update reads back, and any cut of it is an error
+
+  Scenario: A failure at once is known to every instance of every zone
+    # Guards against the first failures of a server that other instances ignore, and
+    # against zones that learn nothing (0.041 against 0.026 failed on a calm day).
+    Given 3 instances in zone a and 2 in zone b that know a server
+    When an instance of zone a sees it fail at once
+    Then within a second all of them doubt it
+
+  Scenario: A summary of another zone is relayed once
+    # Guards against instances that relay what was relayed to them: 75 datagrams a
+    # second at each instance.
+    Given 3 instances in zone a and 2 in zone b that know a server
+    When an instance of zone a sees it fail at once
+    Then no instance sends more than 40 datagrams in the next second
+
+  Scenario: What a silent instance had in flight is forgotten
+    # Guards against slots that stay taken by an instance that was killed.
+    Given 3 instances in zone a and 2 in zone b that know a server
+    When an instance of zone a has a request in flight and dies
+    Then the others count it at first and forget it within 5 seconds
--- /dev/null
+++ b/kumquatsaddle/sharing/tests/steps/exchange.py
@@ -0,0 +1,236 @@
+import itertools
+import os
+
+import trio
+from behave import given, then, when
+from hypothesis import given as for_all
+from hypothesis import strategies as st
+
+from kumquatsaddle.balance import make_balanced_dispatcher
+from kumquatsaddle.balance.beliefs import Observation
+from kumquatsaddle.discovery.records import InstanceRecord, ServerRecord
+from kumquatsaddle.dispatch.protocol import OWN_PROTOCOL
+from kumquatsaddle.exceptions import MessageError
+from kumquatsaddle.metrics import make_metrics
+from kumquatsaddle.settings.parsers import Address
+from kumquatsaddle.sharing import messages
+from kumquatsaddle.sharing.exchange import make_zone_exchange
+from kumquatsaddle.sharing.peers import PeerTable
+from kumquatsaddle.testing.loops import start_loop
+
+_networks = itertools.count(1)
+SERVER = ServerRecord("i-1", 1, "s", Address("127.0.0.1", 1), "a", 6, False)
+# Time in seconds in which the instances of a test find each other.
+_SETTLE = 1.5
+
+
+class View:
+    """What an exchange asks of its node."""
+
+    capacity = 100.0
+
+    def __init__(self, peers):
+        self._peers = peers
+
+    def is_serving(self):
+        return True
+
+    def is_leaving(self):
+        return False
+
+    def routes_version(self):
+        return 1
+
+    servers_version = routes_version
+
+    def measure_read_age(self):
+        return 0.1
+
+    def note_versions(self, peer):
+        pass
+
+    def list_serving(self):
+        return self._peers.list_active(True, self.capacity)
+
+
+class Instance:
+    """An exchange with its dispatcher; counts what it sends."""
+
+    def __init__(self, record):
+        self.record = record
+        self.peers = PeerTable(record)
+        self.dispatcher = make_balanced_dispatcher(
+            record.zone, OWN_PROTOCOL, make_metrics(), 1000
+        )
+        self.exchange = make_zone_exchange(
+            self.peers, self.dispatcher, View(self.peers), make_metrics()
+        )
+        self.scope = trio.CancelScope()
+        self.sent = 0
+        send = self.exchange._send
+
+        async def count(data, address):
+            self.sent += 1
+            await send(data, address)
+
+        self.exchange._send = count
+
+    @property
+    def server(self):
+        return self.dispatcher.find_server("i-1")
+
+    async def run(self):
+        with self.scope:
+            await self.exchange.run()
+
+
+@given("{first:d} instances in zone a and {second:d} in zone b that know a server")
+def prepare(context, first, second):
+    prefix = f"127.{os.getpid() % 200 + 20}.{next(_networks)}"
+    zones = ["a"] * first + ["b"] * second
+    records = []
+    for number, zone in enumerate(zones):
+        address = Address(f"{prefix}.{number + 1}", 7540)
+        records.append(InstanceRecord(f"{zone}-{number}", zone, address, address))
+
+    async def start():
+        context.instances = [Instance(record) for record in records]
+        for instance in context.instances:
+            await instance.dispatcher.update_servers([SERVER])
+            for record in records:
+                instance.peers.add_instance(record, trio.current_time())
+            trio.lowlevel.spawn_system_task(instance.run)
+        await trio.sleep(0.1)
+        for instance in context.instances:
+            await instance.exchange.introduce(
+                [peer.record.control for peer in instance.peers.peers.values()]
+            )
+        await trio.sleep(_SETTLE)
+
+    async def stop():
+        for instance in context.instances:
+            instance.scope.cancel()
+
+    context.loop = start_loop(context)
+    context.loop.run(start)
+    context.add_cleanup(context.loop.run, stop)
+
+
+@when("an instance of zone a sees it fail at once")
+def fail(context):
+    async def act():
+        instance = context.instances[1]
+        for each in context.instances:
+            each.sent = 0
+        now = trio.current_time()
+        seen = instance.server.observe_answer(now, now - 0.001, 0.5, failed=True)
+        instance.exchange._note_answer(instance.server, seen)
+        assert seen is Observation.FAILED_FAST
+
+    context.loop.run(act)
+
+
+@then("within a second all of them doubt it")
+def check_doubt(context):
+    async def check():
+        with trio.fail_after(1.0):
+            while not all(
+                item.server.belief.measure_failure(trio.current_time()) > 0.3
+                for item in context.instances
+            ):
+                await trio.sleep(0.01)
+
+    context.loop.run(check)
+
+
+@then("no instance sends more than {most:d} datagrams in the next second")
+def check_sent(context, most):
+    context.loop.run(trio.sleep, 1.0)
+    counts = [instance.sent for instance in context.instances]
+    assert max(counts) <= most, counts
+
+
+@when("an instance of zone a has a request in flight and dies")
+def die(context):
+    async def act():
+        instance = context.instances[1]
+        instance.server.begin(1, trio.current_time(), 0.5)
+        instance.exchange._note_load(instance.server)
+        await trio.sleep(0.5)
+        context.loads = [item.server.load for item in context.instances]
+        instance.scope.cancel()
+
+    context.loop.run(act)
+
+
+@then("the others count it at first and forget it within 5 seconds")
+def check_forgotten(context):
+    assert context.loads[0] == context.loads[2] == 1, context.loads
+
+    async def check():
+        others = [context.instances[0], context.instances[2]]
+        with trio.fail_after(5.0):
+            while any(item.server.load for item in others):
+                await trio.sleep(0.05)
+
+    context.loop.run(check)
+
+
+@then("any report, fetch and update reads back, and any cut of it is an error")
+def check_messages(context):
+    names = st.text(st.characters(codec="ascii", exclude_characters="\0"), max_size=8)
+    numbers = st.integers(0, 1 << 30)
+    addresses = st.builds(Address, st.just("10.0.0.1"), st.integers(1, 65535))
+    instances = st.builds(InstanceRecord, names, names, addresses, addresses)
+    loads = st.builds(
+        messages.ServerLoad,
+        names,
+        st.integers(0, 60000),
+        st.tuples(numbers, numbers, numbers),
+        st.integers(0, 60000),
+    )
+    rows = st.builds(
+        messages.RowText, names, numbers, st.booleans(), st.binary(max_size=9)
+    )
+    reports = st.builds(
+        messages.Report,
+        instances,
+        numbers,
+        numbers,
+        st.booleans(),
+        st.booleans(),
+        numbers,
+        numbers,
+        st.integers(0, 9).map(float),
+        st.lists(loads, max_size=3).map(tuple),
+        st.booleans(),
+        st.booleans(),
+        st.booleans(),
+        st.integers(0, 9).map(float),
+        st.integers(0, 9).map(float),
+    )
+    fetches = st.builds(messages.Fetch, names, numbers, numbers)
+    updates = st.builds(
+        messages.Update,
+        numbers,
+        st.binary(max_size=20),
+        numbers,
+        st.lists(rows, max_size=3).map(tuple),
+        st.lists(instances, max_size=3).map(tuple),
+    )
+    kinds = {"report": reports, "fetch": fetches, "update": updates}
+
+    @for_all(st.sampled_from(sorted(kinds)), st.data())
+    def check(kind, data):
+        message = data.draw(kinds[kind])
+        encoded = getattr(messages, f"encode_{kind}")(message)
+        decode = getattr(messages, f"decode_{kind}")
+        assert decode(encoded) == message
+        cut = data.draw(st.integers(0, len(encoded) - 1))
+        try:
+            decode(encoded[:cut])
+        except MessageError:
+            return
+        raise AssertionError("a cut message was read")
+
+    check()
