--- a/kumquatsaddle/balance/choice.py
+++ b/kumquatsaddle/balance/choice.py
@@ -4,7 +4,7 @@
 whether the answer has to cross zones. The cheapest server with a free slot is chosen.
 """
 
-__all__ = ["CHOICE_WEIGHTS", "choose_server", "measure_cost"]
+__all__ = ["CHOICE_WEIGHTS", "choose_server", "is_explorable", "measure_cost"]
 
 from dataclasses import dataclass
 
@@ -60,10 +60,13 @@
 CHOICE_WEIGHTS = ChoiceWeights()
 # Costs that differ by less are the same: work spreads over all servers that are about
 # equally sure, so that the evidence on each stays recent.
-_COST_STEP = 0.05
+_COST_STEP = 0.03
 # Time in seconds that a server may be unused while its service explores, and the
 # longest that counts beyond it.
 _UNUSED_TIME, _LONGEST_UNUSED = 1.0, 1.2
+# Chance of a failure up to which an unused server is explored. A server that failed at
+# once falls below it after about 5 s.
+_EXPLORABLE = 0.4
 # Requests beyond the slots that a server is given, by rank: they wait at the server.
 _OVERCOMMIT = {Rank.URGENT: 2, Rank.STANDARD: 0, Rank.BULK: 0}
 
@@ -89,11 +92,11 @@
         cost *= weights.repeatable
     cost += weights.load * server.load / record.slots
     cost += weights.slow * max(0.0, server.measure_pace(now) - 1.5)
-    unused = now - server.used_at - _UNUSED_TIME
-    if explores and unused > 0:
-        cost += weights.unused * min(unused, _LONGEST_UNUSED)
     if record.zone != zone:
         cost += weights.other_zone + weights.other_zone_kilobyte * request.kilobytes
+    elif explores and is_explorable(server, now):
+        unused = max(0.0, now - server.used_at - _UNUSED_TIME)
+        cost += weights.unused * min(unused, _LONGEST_UNUSED)
     if now < server.cold_until:
         cost += weights.cold
     elif server.untried:
@@ -101,6 +104,11 @@
     return cost
 
 
+def is_explorable(server, now):
+    """Return whether a server is worth a request for the sake of the evidence."""
+    return server.belief.measure_failure(now) <= _EXPLORABLE
+
+
 def choose_server(
     servers,
     request,
--- a/kumquatsaddle/balance/pool.py
+++ b/kumquatsaddle/balance/pool.py
@@ -3,15 +3,15 @@
 import trio
 
 from kumquatsaddle.balance.budget import RepeatBudget
-from kumquatsaddle.balance.choice import choose_server
+from kumquatsaddle.balance.choice import choose_server, is_explorable
 from kumquatsaddle.balance.servers import BalancedServer
 
 __all__ = ["BalancedPool"]
 
 # Time in seconds between looks at waiting requests: their limits grow with time.
 _LOOK_INTERVAL = 0.05
-# Share of the servers of a service that are kept in use, those aside that have just
-# failed, and the time in seconds for which a use counts.
+# Share of the servers of a service in this zone that are kept in use, those aside that
+# probably fail still, and the time in seconds for which a use counts.
 _LEAST_USED_SHARE, _USED_TIME = 0.75, 1.7
 
 
@@ -125,7 +125,9 @@
         usable = [
             server
             for server in self.servers.values()
-            if server.is_open(now) and not server.has_failed(now)
+            if server.record.zone == self._zone
+            and server.is_open(now)
+            and is_explorable(server, now)
         ]
         used = sum(now - server.used_at < _USED_TIME for server in usable)
         return used < _LEAST_USED_SHARE * len(usable)
--- a/kumquatsaddle/balance/servers.py
+++ b/kumquatsaddle/balance/servers.py
@@ -28,8 +28,6 @@
 _LONGEST_FAST = 0.06
 # Time in seconds that an observation is taken to lag behind the use of the server.
 _OBSERVED_DELAY = 0.5
-# Time in seconds after a failure at once for which a server counts as failed.
-_FAILED_TIME = 2.0
 # Chance of a failure above which a server is logged as doubted, and below which as
 # trusted again.
 _DOUBTED, _SURE = 0.3, 0.08
@@ -242,10 +240,6 @@
         self._unreachable_until = now + _UNREACHABLE_PAUSES[step]
         self._failed_connects += 1
 
-    def has_failed(self, now):
-        """Return whether the server has just failed a request at once."""
-        return now - self._failed_at < _FAILED_TIME
-
     def is_listed(self):
         """Return whether the server is there and does not leave."""
         return not self.gone and not self.record.draining
