--- a/kumquatsaddle/balance/dispatcher.py
+++ b/kumquatsaddle/balance/dispatcher.py
@@ -27,8 +27,6 @@
 _START_SHARE = 0.8
 # Pause in seconds for a server that refused a request for lack of room.
 _FULL_PAUSE = 0.15
-# Times the usual time after which a repeatable request is tried elsewhere.
-_LATE_FACTOR = 3.0
 _MISDIRECTED = 421
 _GATEWAY_TIMEOUT = 504
 # Time in seconds before a deadline in which a server's 504 is due to it.
--- a/kumquatsaddle/entry/__init__.py
+++ b/kumquatsaddle/entry/__init__.py
@@ -1,6 +1,6 @@
 """The entry: servers for callers, for other instances and for operators."""
 
-from importlib import import_module
+from kumquatsaddle.imports import make_lazy_getattr
 
 _MODULES = {
     "CallerServer": "callers",
@@ -13,9 +13,4 @@
 
 __all__ = list(_MODULES)
 
-
-def __getattr__(name):
-    """Import a part when it is first used: an instance uses only some of them."""
-    if name not in _MODULES:
-        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
-    return getattr(import_module(f"{__name__}.{_MODULES[name]}"), name)
+__getattr__ = make_lazy_getattr(__name__, _MODULES)
--- a/kumquatsaddle/sharing/exchange.py
+++ b/kumquatsaddle/sharing/exchange.py
@@ -292,8 +292,9 @@
         while True:
             try:
                 data, source = await self._socket.recvfrom(_DATAGRAM_BYTES)
-            except OSError:
+            except OSError as error:
                 # An earlier datagram met a closed port.
+                self._metrics.count("reports_undelivered", error=type(error).__name__)
                 continue
             try:
                 report = decode_report(data)
