--- a/kumquatsaddle/balance/pool.py
+++ b/kumquatsaddle/balance/pool.py
@@ -9,7 +9,7 @@
 __all__ = ["BalancedPool"]
 
 # Time in seconds between looks at waiting requests: their limits grow with time.
-_LOOK_INTERVAL = 0.05
+_LOOK_INTERVAL = 0.1
 # Share of the servers of a service in this zone that are kept in use, those aside that
 # probably fail still, and the time in seconds for which a use counts.
 _LEAST_USED_SHARE, _USED_TIME = 0.75, 1.7
@@ -24,6 +24,12 @@
         self.event = trio.Event()
         self.server = None
 
+    @property
+    def kind(self):
+        """What decides, beside the time waited, which servers fit."""
+        request = self.request
+        return request.rank, request.idempotent, request.attempts_left, self.excluded
+
 
 class BalancedPool:
     """Servers and waiting requests of one service.
@@ -44,6 +50,7 @@
         self._protocol = protocol
         self._times = times
         self._waiters = []
+        self._looked_at = float("-inf")
 
     def update(self, records):
         """Take over the listed servers; return those that are gone.
@@ -108,10 +115,21 @@
         self.wake()
 
     def wake(self):
-        """Give servers to waiting requests, in their order."""
+        """Give servers to waiting requests, in their order.
+
+        Requests of one kind that come later are not looked at once one finds no
+        server: a look at each of them, at each change, takes all of the processor
+        while many wait.
+        """
+        self._looked_at = trio.current_time()
+        blocked = set()
         for waiter in list(self._waiters):
+            if waiter.kind in blocked:
+                continue
             server = self._choose(waiter.request, waiter.excluded)
-            if server is not None:
+            if server is None:
+                blocked.add(waiter.kind)
+            else:
                 self._waiters.remove(waiter)
                 waiter.server = server
                 waiter.event.set()
@@ -142,7 +160,8 @@
                 while not waiter.event.is_set():
                     with trio.move_on_after(_LOOK_INTERVAL):
                         await waiter.event.wait()
-                    if not waiter.event.is_set():
+                    is_due = trio.current_time() - self._looked_at >= _LOOK_INTERVAL
+                    if is_due and not waiter.event.is_set():
                         self.wake()
             except trio.Cancelled:
                 # A server may have been granted in the same moment.
--- a/kumquatsaddle/balance/tests/evidence.feature
+++ b/kumquatsaddle/balance/tests/evidence.feature
@@ -51,3 +51,9 @@
     # Guards against bytes between zones while the whole service is short of room.
     Given a sound server whose slots are taken and a free one in another zone
     Then a request waits at first and crosses zones later
+
+  Scenario: Many waiting requests do not take the processor
+    # Guards against an event loop that is held up for seconds while many requests wait
+    # (CONFIG broken on baytsughra-gw scale-1 and scale-2).
+    Given a pool of 8 servers of which 0 failed at once and recovered
+    Then with 200 waiting requests a change costs one choice for each kind
--- a/kumquatsaddle/balance/tests/steps/evidence.py
+++ b/kumquatsaddle/balance/tests/steps/evidence.py
@@ -248,3 +248,29 @@
 def check_crosses(context):
     assert choose_at(context, 0.1) is None
     assert choose_at(context, 1.5) is context.servers[1]
+
+
+@then("with {count:d} waiting requests a change costs one choice for each kind")
+def check_choices(context, count):
+    async def run():
+        pool = BalancedPool("here", OWN_PROTOCOL, RepeatTerms(0.1, 1, 10), RouteTimes())
+        records = [make_server(f"s{n}").record for n in range(context.server_count)]
+        pool.update({record.name: record for record in records})
+        for server in pool.servers.values():
+            for number in range(8):
+                server.begin(number, 0.0, 5.0)
+        async with trio.open_nursery() as nursery:
+            for _ in range(count):
+                request = make_request(now=trio.current_time())
+                nursery.start_soon(
+                    pool.take_server, request, frozenset(), request.deadline
+                )
+            await trio.testing.wait_all_tasks_blocked()
+            assert pool.waiting() == count
+            choose, calls = pool._choose, []
+            pool._choose = lambda *args: calls.append(1) or choose(*args)
+            pool.wake()
+            assert len(calls) == 1, len(calls)
+            nursery.cancel_scope.cancel()
+
+    trio.run(run)
