--- a/kumquatsaddle/discovery/follower.py
+++ b/kumquatsaddle/discovery/follower.py
@@ -178,14 +178,12 @@
         if table.version is None:
             snapshot = await table.read()
             await table.apply_whole(snapshot)
-            if table.confirm_until > self._clock():
-                await table.apply_changes(await table.confirm())
         else:
             snapshot = await table.watch(table.version, _WATCH_TIME)
             await table.apply_changes(snapshot)
-            if table.confirm_until > self._clock():
-                # A read after the loss may have been stale.
-                await table.apply_changes(await table.confirm())
+        if table.confirm_until > self._clock():
+            # The read after the loss of history may have been stale.
+            await table.apply_changes(await table.confirm())
         table.version = max(table.version or 0, snapshot.version)
 
     def _should_read(self, table):
