Answer at once when no other server can be tried; forget old requests

Cause, found by reading: a repeatable request whose only server had failed waited for another one until its time was over; a server's failure gave way to a later attempt that was lost; the budget kept the time of each request until a repeat was taken. The choice between two answers is that of the own dispatcher now.

--- a/kumquatsaddle/balance/baseline.py
+++ b/kumquatsaddle/balance/baseline.py
@@ -32,6 +32,12 @@
             # Bounded, so that one slow answer does not move the average far.
             self._means[route.name] += _WEIGHT * (min(seconds, 4 * mean) - mean)
 
+    def keep_routes(self, names):
+        """Forget the routes that are not among `names`."""
+        for values in (self._means, self._sizes):
+            for name in set(values) - set(names):
+                del values[name]
+
     def measure_size(self, route):
         """Return the usual size of an answer of a route in bytes."""
         return self._sizes.get(route.name, _FIRST_SIZE)
--- a/kumquatsaddle/balance/budget.py
+++ b/kumquatsaddle/balance/budget.py
@@ -27,22 +27,31 @@
         self._requests = deque()
         self._repeats = deque()
 
+    def __len__(self):
+        return len(self._requests) + len(self._repeats)
+
     def add_request(self):
         """Count a request that a caller sent."""
-        self._requests.append(self._clock())
+        now = self._clock()
+        self._forget(now)
+        self._requests.append(now)
 
     def take(self):
         """Count a repeat if the budget allows one; return whether it does."""
         now = self._clock()
-        start = now - self._terms.window
-        for times in (self._requests, self._repeats):
-            while times and times[0] < start:
-                times.popleft()
+        self._forget(now)
         if len(self._repeats) + 1 > self._terms.allow(len(self._requests)):
             return False
         self._repeats.append(now)
         return True
 
+    def _forget(self, now):
+        """Drop what is older than the window."""
+        start = now - self._terms.window
+        for times in (self._requests, self._repeats):
+            while times and times[0] < start:
+                times.popleft()
+
 
 class RepeatTerms:
     """How many repeats one instance may make.
--- a/kumquatsaddle/balance/dispatcher.py
+++ b/kumquatsaddle/balance/dispatcher.py
@@ -14,6 +14,7 @@
 from kumquatsaddle.balance.budget import RepeatTerms
 from kumquatsaddle.balance.pool import BalancedPool
 from kumquatsaddle.dispatch.connections import ExchangeError
+from kumquatsaddle.dispatch.retries import choose_answer
 from kumquatsaddle.exchange import Answer
 from kumquatsaddle.logs import log_event
 from kumquatsaddle.types import Outcome, RefusalReason, RetryReason
@@ -158,14 +159,13 @@
             request.attempts_left = request.route.max_attempts - sent - 1
             server = await self._take_server(pool, request, excluded)
             if server is None:
-                if answer is None:
-                    answer = Answer.refuse(RefusalReason.NO_BACKEND)
+                answer = answer or Answer.refuse(RefusalReason.NO_BACKEND)
                 break
             if verdict is not None:
                 self.metrics.count_retry(_RETRY_REASONS[verdict])
             attempt = await self._attempt(pool, server, request, trail)
             verdict = attempt.verdict
-            answer = _choose_answer(answer, attempt.answer)
+            answer = choose_answer(answer, attempt.answer)
             if verdict is not Verdict.UNREACHABLE:
                 sent += 1
             excluded |= {server.name}
@@ -341,10 +341,3 @@
     """
     terms = RepeatTerms(share, allowance, window)
     return BalancedDispatcher(zone, protocol, terms, metrics, max_answer)
-
-
-def _choose_answer(earlier, later):
-    """Return the answer that says most: one that may have run outweighs a refusal."""
-    if earlier is None or later.outcome is not Outcome.NOT_RUN:
-        return later
-    return earlier
--- a/kumquatsaddle/balance/pool.py
+++ b/kumquatsaddle/balance/pool.py
@@ -91,7 +91,10 @@
         BalancedServer or None
             None if none had room in time, or at once if no server can be asked.
         """
-        if not any(server.is_listed() for server in self.servers.values()):
+        if not any(
+            server.is_listed() and name not in excluded
+            for name, server in self.servers.items()
+        ):
             return None
         server = None
         if not self._is_behind(request):
--- a/kumquatsaddle/balance/tests/dispatcher.feature
+++ b/kumquatsaddle/balance/tests/dispatcher.feature
@@ -34,3 +34,13 @@
     Given one server with 6 slots that holds its answers
     When 8 requests are dispatched and cancelled
     Then no load and no waiting request is left
+
+  Scenario: A failure with no other server to try is answered at once
+    # Guards against an answer that is held back while no server can be asked.
+    Given one server that fails
+    Then a repeatable request gets the failure within a second
+
+  Scenario: The answer of a server outweighs a later attempt that was lost
+    # Guards against an unknown outcome in place of what a server has answered.
+    Given two servers of which the first fails and the second closes
+    Then a repeatable request gets the failure
--- a/kumquatsaddle/balance/tests/steps/budget.py
+++ b/kumquatsaddle/balance/tests/steps/budget.py
@@ -39,3 +39,13 @@
             assert len(made) <= allowed, (made, allowed)
 
     check()
+
+
+@then("a budget remembers no request that is older than its window")
+def check_memory(context):
+    now = 0.0
+    budget = RepeatBudget(RepeatTerms(SHARE, ALLOWANCE, WINDOW), lambda: now)
+    for _ in range(1000):
+        now += 1.0
+        budget.add_request()
+    assert len(budget) <= WINDOW + 1, len(budget)
--- a/kumquatsaddle/balance/tests/steps/dispatcher.py
+++ b/kumquatsaddle/balance/tests/steps/dispatcher.py
@@ -279,3 +279,35 @@
 def check_nothing_left(context):
     assert count_load(context) == 0
     assert count_waiting(context) == 0
+
+
+async def time_dispatch(count, script):
+    async with trio.open_nursery() as nursery:
+        servers, dispatcher = await open_servers(nursery, count)
+        servers.script = script
+        started = trio.current_time()
+        answer = await dispatcher.dispatch(make_request(0, True))
+        taken = trio.current_time() - started
+        nursery.cancel_scope.cancel()
+    return answer, taken
+
+
+@given("one server that fails")
+def prepare_failing(context):
+    context.result = trio.run(time_dispatch, 1, [("failed", 0)])
+
+
+@then("a repeatable request gets the failure within a second")
+def check_at_once(context):
+    answer, taken = context.result
+    assert answer.status == 500 and taken < 1.0, (answer.status, taken)
+
+
+@given("two servers of which the first fails and the second closes")
+def prepare_failing_and_closing(context):
+    context.result = trio.run(time_dispatch, 2, [("failed", 0), ("close", 0)])
+
+
+@then("a repeatable request gets the failure")
+def check_failure(context):
+    assert context.result[0].status == 500, context.result[0]
--- a/kumquatsaddle/lifecycle/routed_node.py
+++ b/kumquatsaddle/lifecycle/routed_node.py
@@ -225,6 +225,9 @@
         await self.dispatcher.update_servers(records)
 
     def _update_routes(self, routes):
+        names = {route.name for route in routes.list_routes()}
+        self.dispatcher.times.keep_routes(names)
+        self._shares.keep_routes(names)
         if routes.limits is not None:
             self._scope.apply_limits(routes.limits)
 
--- a/kumquatsaddle/routes/table.py
+++ b/kumquatsaddle/routes/table.py
@@ -176,6 +176,11 @@
         self._random = random or Random()
         self._credits = {}
 
+    def keep_routes(self, names):
+        """Forget the routes that are not among `names`."""
+        for name in set(self._credits) - set(names):
+            del self._credits[name]
+
     def choose_service(self, route):
         """Return the service of the next request of a route."""
         if len(route.shares) == 1:
--- a/kumquatsaddle/sharing/exchange.py
+++ b/kumquatsaddle/sharing/exchange.py
@@ -58,8 +58,8 @@
     ----------
     peers : PeerTable
     dispatcher : BalancedDispatcher
-    view : NodeView
-        What the instance says of itself, and answers to fetches.
+    view : RoutedNode
+        Says what the instance tells of itself, and answers fetches.
     metrics : Metrics
     """
 
