Run test fleets by the processor time of their loop

A test fleet runs callers, instances and backend servers in one loop, and its deadlines (60 ms there) ran by the wall clock while the loop waited for a core. A trace beside 12 busy processes on 6 cores shows the answers: of 174 to 194 exchanges a scenario, 0 to 7 were answered, 138 to 159 refused for the deadline and 9 to 33 answered late.

Change: loops of tests use a clock that counts the thread's processor time and its waits for events.

--- a/kumquatsaddle/testing/loops.py
+++ b/kumquatsaddle/testing/loops.py
@@ -5,6 +5,8 @@
 
 import trio
 
+from kumquatsaddle.testing.clocks import ProcessorClock
+
 __all__ = ["Loop", "start_loop"]
 
 
@@ -44,7 +46,8 @@
 
     def _run(self):
         try:
-            trio.run(self._main)
+            clock = ProcessorClock()
+            trio.run(self._main, clock=clock, instruments=[clock])
         except BaseException as error:
             self._failure = error
         finally:
