--- a/deploy/tests/standin.py
+++ b/deploy/tests/standin.py
@@ -94,6 +94,7 @@
     def __init__(self):
         self.received = []
         self.pause = 0.0
+        self.status = 200
 
     async def handle(self, method, target, headers, body):
         """Answer one request."""
@@ -103,7 +104,7 @@
             ("X-Request-Id", headers.get("x-request-id", "")),
             ("X-Response-Signature", "signed"),
         ]
-        return Reply(200, b"answer to " + target.encode(), signed)
+        return Reply(self.status, b"answer to " + target.encode(), signed)
 
 
 async def start_standin(nursery, standin):
