Choose servers and apply reports with less processor time

A profile of one instance for 10 s (trial) shows 4.2 s of work: 1.4 s in 1,300 choices that each weigh about 91 servers, 1.6 s in 2,029 reports that each set the load of all 159 servers, 1.0 s of both in beliefs.

Change: a choice weighs the servers of its own zone first and passes over others that cost more by the crossing alone; a report only touches the servers that it or the one before names; rates of the states are computed once.

Measured: a property test compares the choice with the cheapest of all servers; it fails with a bound that is too high.

--- a/kumquatsaddle/balance/beliefs.py
+++ b/kumquatsaddle/balance/beliefs.py
@@ -96,6 +96,13 @@
     ),
 )
 
+# Rate of change, share of time and share of failures of each state: every choice of a
+# server reads them for all servers.
+_RATES = tuple(
+    (state.onset + state.recovery, state.prevalence, state.failures)
+    for state in SICK_STATES
+)
+
 
 class Belief:
     """Probabilities of the states of one server.
@@ -119,11 +126,10 @@
         elapsed = max(0.0, now - self._updated)
         if not elapsed:
             return self._sick
-        predicted = []
-        for state, sick in zip(SICK_STATES, self._sick, strict=True):
-            kept = exp(-(state.onset + state.recovery) * elapsed)
-            predicted.append(state.prevalence + (sick - state.prevalence) * kept)
-        return predicted
+        return [
+            prevalence + (sick - prevalence) * exp(-rate * elapsed)
+            for (rate, prevalence, _), sick in zip(_RATES, self._sick, strict=True)
+        ]
 
     def measure_sick(self, now):
         """Return the probability that the server is sick at a time."""
@@ -143,8 +149,8 @@
         for _ in range(min(started, 2)):
             sick = _weigh(sick, Observation.STARTED)
         failure = _SOUND_FAILURES * max(0.0, 1.0 - sum(sick))
-        for state, probability in zip(SICK_STATES, sick, strict=True):
-            failure += state.failures * probability
+        for (_, _, failures), probability in zip(_RATES, sick, strict=True):
+            failure += failures * probability
         return failure
 
     def observe(self, now, observation):
--- a/kumquatsaddle/balance/choice.py
+++ b/kumquatsaddle/balance/choice.py
@@ -152,12 +152,24 @@
     waited = _measure_waited(request, now)
     limit = weights.most_acceptable if waited < weights.patience else float("inf")
     full_here = float("inf")
-    for server in servers:
+    # The least that a server of another zone costs; at the target size most servers are
+    # passed over by it.
+    crossing = weights.other_zone + weights.other_zone_kilobyte * request.kilobytes
+    for server in sorted(servers, key=lambda item: item.record.zone != zone):
+        record = server.record
         if server.name in excluded or not server.is_open(now):
             continue
+        if (
+            best is not None
+            and record.zone != zone
+            and not server.untried
+            and record.zone not in unattended
+            and round(crossing / _COST_STEP) > best_order[0]
+        ):
+            continue
         cost = measure_cost(server, request, now, zone, weights, explores, unattended)
-        if server.load >= server.record.slots + _OVERCOMMIT[request.rank]:
-            if server.record.zone == zone:
+        if server.load >= record.slots + _OVERCOMMIT[request.rank]:
+            if record.zone == zone:
                 full_here = min(full_here, cost)
             continue
         if cost > limit:
--- a/kumquatsaddle/balance/tests/evidence.feature
+++ b/kumquatsaddle/balance/tests/evidence.feature
@@ -48,6 +48,10 @@
     When 40 requests a second are served for 8 seconds
     Then in the last 2 seconds at least 10 servers got requests
 
+  Scenario: Passing over distant servers changes no choice
+    # Guards against a bound on the cost of another zone that is not one.
+    Then a choice among any servers of two zones is the cheapest of all
+
   Scenario: A queue does not drain into servers that fail at once
     # Guards against waiting requests that are lost to a sick server, whose slots are
     # always free (393 of 4,098 requests of a class on baytsughra-gw trouble-1).
--- a/kumquatsaddle/balance/tests/steps/evidence.py
+++ b/kumquatsaddle/balance/tests/steps/evidence.py
@@ -7,7 +7,7 @@
 from kumquatsaddle.balance.baseline import RouteTimes
 from kumquatsaddle.balance.beliefs import Belief, Observation
 from kumquatsaddle.balance.budget import RepeatTerms
-from kumquatsaddle.balance.choice import choose_server, measure_cost
+from kumquatsaddle.balance.choice import _COST_STEP, choose_server, measure_cost
 from kumquatsaddle.balance.pool import BalancedPool
 from kumquatsaddle.balance.requests import RoutedRequest
 from kumquatsaddle.balance.servers import BalancedServer
@@ -284,3 +284,37 @@
             nursery.cancel_scope.cancel()
 
     trio.run(run)
+
+
+@then("a choice among any servers of two zones is the cheapest of all")
+def check_cheapest(context):
+    zones = st.sampled_from(["here", "there"])
+    observed = st.lists(OBSERVATIONS, max_size=3)
+    kinds = st.tuples(zones, st.booleans(), observed, st.floats(0, 2))
+    unattended_zones = st.sampled_from([frozenset(), frozenset(["there"])])
+
+    @for_all(st.lists(kinds, min_size=1, max_size=8), unattended_zones, st.booleans())
+    def check(drawn, unattended, explores):
+        servers = []
+        for number, (zone, is_new, observations, used) in enumerate(drawn):
+            server = make_server(f"s{number}", zone, is_new=is_new)
+            for observation in observations:
+                server.observe(0.0, observation)
+            server.used_at = used + number / 1000
+            servers.append(server)
+        request, now = make_request(now=2.0), 2.5
+        options = {"explores": explores, "unattended": unattended}
+        chosen = choose_server(servers, request, now, "here", **options)
+
+        def measure(server):
+            cost = measure_cost(server, request, now, "here", **options)
+            return cost, (round(cost / _COST_STEP), server.used_at)
+
+        costs = [measure(server) for server in servers]
+        allowed = [order for cost, order in costs if cost <= 0.5]
+        if chosen is None:
+            assert not allowed
+        else:
+            assert measure(chosen)[1] == min(allowed)
+
+    check()
--- a/kumquatsaddle/sharing/exchange.py
+++ b/kumquatsaddle/sharing/exchange.py
@@ -82,6 +82,8 @@
         self._rounds = 0
         self._told_at = -math.inf
         self._active = frozenset()
+        # Servers at which each peer or zone last told of requests in flight.
+        self._loaded = {}
         dispatcher.on_load = self._note_load
         dispatcher.on_answer = self._note_answer
 
@@ -126,6 +128,7 @@
 
     def _drop_loads(self, key):
         """Drop the loads of a peer or zone that has fallen silent."""
+        self._loaded.pop(key, None)
         for server in self._dispatcher.list_servers():
             server.set_peer_load(key, 0)
         self._wake_all()
@@ -344,17 +347,21 @@
 
     def _apply_loads(self, key, counts, report, now):
         """Take over the loads of a peer or zone; return its new observations."""
-        named, woken, observed = set(), False, []
+        woken, observed = False, []
+        before = self._loaded.get(key, frozenset())
+        loaded = {load.server for load in report.loads if load.in_flight}
+        named = {load.server for load in report.loads}
+        self._loaded[key] = before | loaded if report.partial else loaded
         for load in report.loads:
-            named.add(load.server)
             server = self._dispatcher.find_server(load.server)
             if server is None:
                 continue
             woken |= server.set_peer_load(key, load.in_flight, load.started)
             observed += _apply_counts(counts, server, load, now)
         if not report.partial:
-            for server in self._dispatcher.list_servers():
-                if server.name not in named:
+            for name in before - named:
+                server = self._dispatcher.find_server(name)
+                if server is not None:
                     woken |= server.set_peer_load(key, 0)
         if woken or observed:
             self._wake_all()
