Answer unknown when the primary of an account that got a request does not reply

Cause: ask_primary forgot the lost attempt of a repeatable request, so a later refusal by the account limit here said not-run of work that the primary may have started. Change: the lost attempt is kept and goes before a refusal, as Router.dispatch does. Measured: two new scenarios in entry/tests/routing.feature; the first fails on the code before (not-run, account_limit). entry/tests: 74 passed.

--- a/kumquatsaddle/entry/proxy.py
+++ b/kumquatsaddle/entry/proxy.py
@@ -11,6 +11,7 @@
 import trio
 
 from kumquatsaddle.dispatch.connections import HOP_HEADERS
+from kumquatsaddle.dispatch.retries import choose_answer
 from kumquatsaddle.entry.claiming import answer_claimed
 from kumquatsaddle.entry.reserved import RESERVED_PREFIX, answer_reserved
 from kumquatsaddle.entry.routing import TO_HOME, make_router
@@ -179,11 +180,15 @@
         if request.operation:
             return await self._answer_operation(request, limit, may_forward)
         homes = self._node.order_homes(request.service, request.account)
-        own = self._node.name
-        if homes and homes[0] != own and may_forward:
-            answer = await self._router.ask_primary(request, homes[0])
-            if answer is not None:
+        answer = None
+        if homes and homes[0] != self._node.name and may_forward:
+            answer, is_final = await self._router.ask_primary(request, homes[0])
+            if is_final:
                 return answer
+        return choose_answer(answer, await self._answer_here(request, limit, homes))
+
+    async def _answer_here(self, request, limit, homes):
+        """Return the answer of this instance, as the authority of a request."""
         if not self._is_within_limit(request, limit, homes):
             return self._refuse_resolved(request, RefusalReason.ACCOUNT_LIMIT)
         if request.idempotent:
--- a/kumquatsaddle/entry/routing.py
+++ b/kumquatsaddle/entry/routing.py
@@ -59,19 +59,22 @@
 
         Returns
         -------
-        Answer or None
-            None if the primary cannot be reached and the request may run here.
+        answer : Answer or None
+            None if the primary cannot be reached.
+        is_final : bool
+            Whether the request must not run here.
         """
         member = self._node.table.members.get(name)
         if member is None or name in self._node.gossip.unreachable:
-            return None
+            return None, False
         try:
-            return await self._forward(request, member, TO_AUTHORITY)
+            return await self._forward(request, member, TO_AUTHORITY), True
         except PeerError as error:
+            lost = Answer.unknown(RefusalReason.ANSWER_LOST)
             if error.written and not request.idempotent:
-                return Answer.unknown(RefusalReason.ANSWER_LOST)
+                return lost, True
             self._node.metrics.count_retry(RetryReason.PEER_LOST)
-            return None
+            return (lost if error.written else None), False
 
     async def dispatch(self, request):
         """Run a request at a home of its service and return the answer.
--- a/kumquatsaddle/entry/tests/routing.feature
+++ b/kumquatsaddle/entry/tests/routing.feature
@@ -24,3 +24,17 @@
     Given an instance and 2 homes that cannot be reached
     When it gets a repeatable request
     Then the answer is not-run, no_backend
+
+  Scenario: The primary of an account does not reply
+    # Guards against `not-run` for work that the primary has started, when this instance
+    # refuses it afterwards.
+    Given an instance and 2 homes that take requests and do not reply
+    When a repeatable request beyond the limit goes to the primary first
+    Then the answer is unknown, answer_lost
+    And 1 of the homes got it
+
+  Scenario: The primary of an account cannot be reached
+    # Guards against `unknown` for a request that nobody got.
+    Given an instance and 2 homes that cannot be reached
+    When a repeatable request beyond the limit goes to the primary first
+    Then the answer is not-run, account_limit
--- a/kumquatsaddle/entry/tests/steps/routing.py
+++ b/kumquatsaddle/entry/tests/steps/routing.py
@@ -5,6 +5,7 @@
 from behave import given, then, when
 
 from kumquatsaddle.dispatch.peers import PeerError
+from kumquatsaddle.entry.proxy import make_proxy
 from kumquatsaddle.entry.routing import make_router
 from kumquatsaddle.types import Rank
 
@@ -50,16 +51,21 @@
     prepare(context, count, written=False)
 
 
+def make_request(idempotent, seconds):
+    return SimpleNamespace(
+        service="s",
+        account="shop",
+        operation="",
+        headers=(),
+        rank=Rank.STANDARD,
+        idempotent=idempotent,
+        deadline=trio.current_time() + seconds,
+    )
+
+
 def dispatch(context, idempotent, seconds):
     async def run():
-        request = SimpleNamespace(
-            service="s",
-            account="shop",
-            operation="",
-            rank=Rank.STANDARD,
-            idempotent=idempotent,
-            deadline=trio.current_time() + seconds,
-        )
+        request = make_request(idempotent, seconds)
         return await make_router(context.node).dispatch(request)
 
     clock = trio.testing.MockClock(autojump_threshold=0)
@@ -82,6 +88,18 @@
     dispatch(context, True, 5.0)
 
 
+@when("a repeatable request beyond the limit goes to the primary first")
+def send_beyond_limit(context):
+    context.node.limits = SimpleNamespace(admit=lambda *arguments: False)
+
+    async def run():
+        proxy = make_proxy(context.node)
+        request = make_request(True, 5.0)
+        return await proxy._answer_resolved(request, None, may_forward=True)
+
+    context.answer = trio.run(run)
+
+
 @then("the answer is {outcome}, {reason}")
 def check_answer(context, outcome, reason):
     answer = context.answer
