Tell loads in columns and weigh only servers with room

A report of 30 loads took 252 us to encode and 466 us to decode, as each field of a struct is read through the codec; a choice among 191 servers that are all full weighed each of them, 5.6 ms. Change: servers and numbers of a report are two lists; a choice looks at room before it weighs, the pool keeps its servers in order and counts those in use again only after 0.1 s or a request; a served answer of a sure server is observed without its log check.

--- a/kumquatsaddle/balance/beliefs.py
+++ b/kumquatsaddle/balance/beliefs.py
@@ -102,6 +102,15 @@
     (state.onset + state.recovery, state.prevalence, state.failures)
     for state in SICK_STATES
 )
+# Shares of an observation: of a sound server, then in each sick state.
+_SHARES = {
+    observation: (
+        _SOUND_SHARES[observation],
+        *(state.shares[observation] for state in SICK_STATES),
+    )
+    for observation in Observation
+}
+_STARTED_SHARES = _SHARES[Observation.STARTED]
 
 
 class Belief:
@@ -147,7 +156,7 @@
         """
         sick = self.measure_states(now)
         for _ in range(min(started, 2)):
-            sick = _weigh(sick, Observation.STARTED)
+            sick = _weigh(sick, _STARTED_SHARES)
         failure = _SOUND_FAILURES * max(0.0, 1.0 - sum(sick))
         for (_, _, failures), probability in zip(_RATES, sick, strict=True):
             failure += failures * probability
@@ -155,16 +164,22 @@
 
     def observe(self, now, observation):
         """Add the observation of one request."""
-        self._sick = _weigh(self.measure_states(now), observation)
+        self._sick = _weigh(self.measure_states(now), _SHARES[observation])
         self._updated = max(now, self._updated)
 
 
-def _weigh(sick, observation):
-    """Return the probabilities of the sick states after an observation."""
-    sound = max(_LOWEST, 1.0 - sum(sick)) * _SOUND_SHARES[observation]
+def _weigh(sick, shares):
+    """Return the probabilities of the sick states after an observation.
+
+    Parameters
+    ----------
+    sick : list of float
+    shares : tuple of float
+        An entry of `_SHARES`.
+    """
+    sound = max(_LOWEST, 1.0 - sum(sick)) * shares[0]
     weights = [
-        probability * state.shares[observation]
-        for state, probability in zip(SICK_STATES, sick, strict=True)
+        probability * share for probability, share in zip(sick, shares[1:], strict=True)
     ]
     # The floor is relative to the likeliest state, so that no state which has become
     # unlikely holds back the growth of another.
--- a/kumquatsaddle/balance/choice.py
+++ b/kumquatsaddle/balance/choice.py
@@ -135,6 +135,7 @@
     Parameters
     ----------
     servers : iterable of BalancedServer
+        Fastest if those of this zone come first.
     request : RoutedRequest
     now : float
         On the clock of trio, in seconds.
@@ -148,17 +149,23 @@
     unattended : frozenset of ZoneId
         Zones without an instance.
     """
-    best, best_order, best_cost = None, None, 0.0
+    best, best_order, best_cost, full_here = None, None, 0.0, []
     waited = _measure_waited(request, now)
     limit = weights.most_acceptable if waited < weights.patience else float("inf")
-    full_here = float("inf")
+    most_beyond = _OVERCOMMIT[request.rank]
     # The least that a server of another zone costs; at the target size most servers are
     # passed over by it.
     crossing = weights.other_zone + weights.other_zone_kilobyte * request.kilobytes
-    for server in sorted(servers, key=lambda item: item.record.zone != zone):
+    for server in servers:
         record = server.record
+        is_full = server.load >= record.slots + most_beyond
+        if is_full and record.zone != zone:
+            continue
         if server.name in excluded or not server.is_open(now):
             continue
+        if is_full:
+            full_here.append(server)
+            continue
         if (
             best is not None
             and record.zone != zone
@@ -168,18 +175,18 @@
         ):
             continue
         cost = measure_cost(server, request, now, zone, weights, explores, unattended)
-        if server.load >= record.slots + _OVERCOMMIT[request.rank]:
-            if record.zone == zone:
-                full_here = min(full_here, cost)
-            continue
         if cost > limit:
             continue
         order = (round(cost / _COST_STEP), server.used_at)
         if best_order is None or order < best_order:
             best, best_order, best_cost = server, order, cost
     if best is not None and best.record.zone != zone:
-        if full_here + weights.waiting * waited < best_cost:
-            return None
+        for server in full_here:
+            cost = measure_cost(
+                server, request, now, zone, weights, explores, unattended
+            )
+            if cost + weights.waiting * waited < best_cost:
+                return None
     return best
 
 
--- a/kumquatsaddle/balance/pool.py
+++ b/kumquatsaddle/balance/pool.py
@@ -13,6 +13,9 @@
 # Share of the servers of a service in this zone that are kept in use, those aside that
 # probably fail still, and the time in seconds for which a use counts.
 _LEAST_USED_SHARE, _USED_TIME = 0.75, 1.7
+# Time in seconds for which the servers in use are not counted again while no request is
+# sent.
+_COUNTED_TIME = 0.1
 
 
 class _Waiter:
@@ -57,6 +60,9 @@
         self._times = times
         self._waiters = []
         self._looked_at = float("-inf")
+        self._ordered = ()
+        self._explores = False
+        self._counted_at = float("-inf")
 
     def update(self, records):
         """Take over the listed servers; return those that are gone.
@@ -79,6 +85,9 @@
                 )
             elif record != server.record:
                 server.update(record, now)
+        self._ordered = sorted(
+            self.servers.values(), key=lambda server: server.record.zone != self._zone
+        )
         self.wake()
         return gone
 
@@ -149,6 +158,12 @@
         A server that recovered is not seen to be sound until it is tried, so the
         floor of servers in use could fall for lack of evidence alone.
         """
+        if now - self._counted_at >= _COUNTED_TIME:
+            self._counted_at = now
+            self._explores = self._is_below_floor(now)
+        return self._explores
+
+    def _is_below_floor(self, now):
         usable = [
             server
             for server in self.servers.values()
@@ -186,7 +201,7 @@
     def _choose(self, request, excluded):
         now = trio.current_time()
         server = choose_server(
-            self.servers.values(),
+            self._ordered,
             request,
             now,
             self._zone,
@@ -198,6 +213,7 @@
             return None
         # Counted at once: the task of a waiting request runs only later.
         server.begin(id(request), now, self._times.measure(request.route))
+        self._counted_at = float("-inf")
         return server
 
 
--- a/kumquatsaddle/balance/servers.py
+++ b/kumquatsaddle/balance/servers.py
@@ -195,12 +195,16 @@
         if observation is Observation.FAILED_FAST:
             self._failed_at = now
             self._peer_started.clear()
+        if observation is Observation.SERVED and not self._doubted:
+            # Most observations are of this kind, and it makes no server doubtful.
+            self.belief.observe(now, observation)
+        else:
+            self._observe_doubt(now, observation)
+
+    def _observe_doubt(self, now, observation):
+        """Observe, and log when the server becomes doubtful or no longer is."""
         before = self.belief.measure_failure(now)
         self.belief.observe(now, observation)
-        self._note_doubt(now, observation, before)
-
-    def _note_doubt(self, now, observation, before):
-        """Log when the server becomes doubtful and when it no longer is."""
         after = self.belief.measure_failure(now)
         doubted = after > (_SURE if self._doubted else _DOUBTED)
         if doubted != self._doubted:
--- a/kumquatsaddle/balance/tests/evidence.feature
+++ b/kumquatsaddle/balance/tests/evidence.feature
@@ -69,3 +69,9 @@
     # (CONFIG broken on baytsughra-gw scale-1 and scale-2).
     Given a pool of 8 servers of which 0 failed at once and recovered
     Then with 200 waiting requests a change costs one choice for each kind
+
+  Scenario: Servers without room cost no weighing of their evidence
+    # Guards against waiting requests that weigh each full server at each change: 5.6 ms
+    # of processor time for a look among 191 servers.
+    Given a pool of 40 servers of which 0 failed at once and recovered
+    Then while all are full a waiting request weighs none of them
--- a/kumquatsaddle/balance/tests/steps/evidence.py
+++ b/kumquatsaddle/balance/tests/steps/evidence.py
@@ -1,3 +1,5 @@
+from types import SimpleNamespace
+
 import trio
 import trio.testing
 from behave import given, then, when
@@ -286,6 +288,28 @@
     trio.run(run)
 
 
+@then("while all are full a waiting request weighs none of them")
+def check_weighed(context):
+    async def run():
+        pool = BalancedPool("here", OWN_PROTOCOL, RepeatTerms(0.1, 1, 10), RouteTimes())
+        records = [make_server(f"s{n}").record for n in range(context.server_count)]
+        pool.update({record.name: record for record in records})
+        for server in pool.servers.values():
+            for number in range(8):
+                server.begin(number, 0.0, 5.0)
+        request = make_request(now=trio.current_time())
+        assert pool._choose(request, frozenset()) is None
+        weighed = []
+        for server in pool.servers.values():
+            server.belief = SimpleNamespace(
+                measure_failure=lambda *args: weighed.append(1) or 0.0
+            )
+        assert pool._choose(request, frozenset()) is None
+        assert not weighed, len(weighed)
+
+    trio.run(run)
+
+
 @then("a choice among any servers of two zones is the cheapest of all")
 def check_cheapest(context):
     zones = st.sampled_from(["here", "there"])
--- a/kumquatsaddle/sharing/exchange.py
+++ b/kumquatsaddle/sharing/exchange.py
@@ -394,6 +394,8 @@
     list of (BalancedServer, Observation, int)
     """
     before = known.get(load.server, _NOTHING)
+    if before == load.counts:
+        return []
     known[load.server] = load.counts
     if any(a < b for a, b in zip(load.counts, before, strict=True)):
         new = load.counts
--- a/kumquatsaddle/sharing/messages.py
+++ b/kumquatsaddle/sharing/messages.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from functools import lru_cache
 from pathlib import Path
+from typing import NamedTuple
 
 import capnp
 
@@ -41,9 +42,11 @@
     Observation.FAILED_SLOWLY,
 )
 
+# Numbers that a report tells of each server.
+_NUMBERS_A_LOAD = len(COUNTED) + 2
 
-@dataclass(frozen=True, slots=True)
-class ServerLoad:
+
+class ServerLoad(NamedTuple):
     """What one instance has seen of one backend server.
 
     Parameters
@@ -127,11 +130,11 @@
     message.summary, message.partial = report.summary, report.partial
     message.capacity = report.capacity
     message.intervalMs = int(report.interval * 1000)
-    loads = message.init("loads", len(report.loads))
-    for target, load in zip(loads, report.loads, strict=True):
-        target.server, target.inFlight = load.server, load.in_flight
-        target.served, target.failedFast, target.failedSlowly = load.counts
-        target.started = load.started
+    message.servers = [load.server for load in report.loads]
+    numbers = []
+    for load in report.loads:
+        numbers += (load.in_flight, *load.counts, load.started)
+    message.numbers = numbers
     return message.to_bytes()
 
 
@@ -209,15 +212,7 @@
         routes_version=message.routesVersion,
         servers_version=message.serversVersion,
         read_age=message.readAgeMs / 1000,
-        loads=tuple(
-            ServerLoad(
-                load.server,
-                load.inFlight,
-                (load.served, load.failedFast, load.failedSlowly),
-                load.started,
-            )
-            for load in message.loads
-        ),
+        loads=_read_loads(message),
         wants_reply=message.wantsReply,
         summary=message.summary,
         partial=message.partial,
@@ -226,6 +221,18 @@
     )
 
 
+def _read_loads(message):
+    """Return the loads of a report; raise `ValueError` if its columns do not match."""
+    numbers = iter(message.numbers)
+    rows = zip(*[numbers] * _NUMBERS_A_LOAD, strict=True)
+    return tuple(
+        ServerLoad(server, in_flight, (served, fast, slowly), started)
+        for server, (in_flight, served, fast, slowly, started) in zip(
+            message.servers, rows, strict=True
+        )
+    )
+
+
 def _read_update(message):
     return Update(
         routes_version=message.routesVersion,
--- a/kumquatsaddle/sharing/reports.capnp
+++ b/kumquatsaddle/sharing/reports.capnp
@@ -15,21 +15,17 @@
   routesVersion @8 :UInt64;  # store version of the routes in force
   serversVersion @9 :UInt64; # store version of the newest known entry
   readAgeMs @10 :UInt32;     # time since the store answered the sender
-  loads @11 :List(ServerLoad);
+  # Loads are told in columns: reading a field of a struct costs more than reading a
+  # whole list of numbers.
+  servers @11 :List(Text);   # ids of servers
   wantsReply @12 :Bool;      # the sender does not know the recipient's load yet
   summary @13 :Bool;         # loads are those of all instances of the sender's zone
   partial @14 :Bool;         # servers that are not named have not changed
   capacity @15 :Float32;     # requests a second that the sender can take
   intervalMs @16 :UInt16;    # longest time until the sender's next report
-}
-
-struct ServerLoad {
-  server @0 :Text;
-  inFlight @1 :UInt16;
-  served @2 :UInt32;         # observations since the sender knows the server
-  failedFast @3 :UInt32;
-  failedSlowly @4 :UInt32;
-  started @5 :UInt16;        # of those in flight, the ones that did not fail at once
+  # For each of the servers: requests in flight, observations since the sender knows it
+  # (served, failed at once, failed slowly), requests in flight that did not fail at once.
+  numbers @17 :List(UInt32);
 }
 
 # A frame: asks for what changed after two versions.
--- a/kumquatsaddle/sharing/tests/exchange.feature
+++ b/kumquatsaddle/sharing/tests/exchange.feature
@@ -4,6 +4,10 @@
     # Guards against fields that are lost or mixed up on the way.
     Then any report, fetch and update reads back, and any cut of it is an error
 
+  Scenario: A report whose columns do not match is refused
+    # Guards against loads that are read from the numbers of another server.
+    Then a report with a number too many or too few is an error
+
   Scenario: A failure at once is known to every instance of every zone
     # Guards against the first failures of a server that other instances ignore, and
     # against zones that learn nothing (0.041 against 0.026 failed on a calm day).
--- a/kumquatsaddle/sharing/tests/steps/exchange.py
+++ b/kumquatsaddle/sharing/tests/steps/exchange.py
@@ -268,3 +268,23 @@
 
     context.loop.run(check)
     assert set(list_unattended(context, "b")) == {frozenset(["a"])}
+
+
+@then("a report with a number too many or too few is an error")
+def check_columns(context):
+    address = Address("10.0.0.1", 1)
+    sender = InstanceRecord("entry", "a", address, address)
+    load = messages.ServerLoad("i-1", 1, (2, 3, 4), 1)
+    report = messages.Report(sender, 1, 1, True, False, 1, 1, 0.0, (load,))
+    data = messages.encode_report(report)
+    assert messages.decode_report(data).loads == (load,)
+    for numbers in ([], [1, 2, 3, 4], [1, 2, 3, 4, 5, 6], [1] * 10):
+        with messages._schema.Report.from_bytes(data) as message:
+            changed = message.as_builder()
+            changed.numbers = numbers
+            data_changed = changed.to_bytes()
+        try:
+            messages.decode_report(data_changed)
+        except MessageError:
+            continue
+        raise AssertionError(numbers)
