--- a/kumquatsaddle/lifecycle/routed_node.py
+++ b/kumquatsaddle/lifecycle/routed_node.py
@@ -243,13 +243,13 @@
                 self.peers.add_instance(record, now)
             self.dispatcher.terms.instances = len(self.peers.instances)
             log_event("instances_listed", instances=len(records))
-            await self._introduce()
+            self._introduce()
 
-    async def _introduce(self):
+    def _introduce(self):
         """Report to the peers that were not heard yet."""
         peers = self.peers.peers.values()
         unheard = [peer.record.control for peer in peers if not peer.alive]
-        await self.exchange.introduce(unheard)
+        self.exchange.introduce(unheard)
 
     async def _call_store(self, call, *arguments):
         """Return the result of a call to the store, repeated until it works."""
@@ -270,7 +270,7 @@
         ]
         while contacts and not self.peers.list_alive():
             await self.follower.join(contacts)
-            await self._introduce()
+            self._introduce()
             await trio.sleep(_JOIN_INTERVAL)
 
     async def _watch_settings(self):
--- a/kumquatsaddle/sharing/exchange.py
+++ b/kumquatsaddle/sharing/exchange.py
@@ -5,6 +5,7 @@
 """
 
 import math
+import socket
 from secrets import randbits
 
 import trio
@@ -89,9 +90,10 @@
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
         """Exchange reports until cancelled."""
         address = self.peers.own.control
-        self._socket = trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM)
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         with self._socket:
-            await self._socket.bind((address.host, address.port))
+            self._socket.setblocking(False)
+            self._socket.bind((address.host, address.port))
             listeners = await trio.open_tcp_listeners(
                 address.port, host=address.host, backlog=_BACKLOG
             )
@@ -107,12 +109,12 @@
         self._scope = Scope.ALL
         self._changed.set()
 
-    async def introduce(self, addresses):
+    def introduce(self, addresses):
         """Send a report to addresses that are not known as peers."""
         loads = self._list_loads(whole=True)
         data = encode_report(self._make_report(loads, wants_reply=True))
         for address in addresses:
-            await self._send(data, address)
+            self._send(data, address)
 
     async def fetch(self, address, routes_after, servers_after, timeout):
         """Return the `Update` of another instance.
@@ -178,7 +180,7 @@
             if now >= due:
                 self._told_at = now
                 self._note_quiet_zones(now)
-            await self._send_report(scope)
+            self._send_report(scope)
 
     async def _gather(self):
         """Wait for further changes, as long as none of them matters at once."""
@@ -203,10 +205,10 @@
                 self._drop_loads(_zone_key(zone))
             failed, self._totals.failed = self._totals.failed, set()
             if self.peers.is_speaker():
-                await self._send_summary(failed)
+                self._send_summary(failed)
             await trio.sleep(_URGENT_INTERVAL)
 
-    async def _send_summary(self, failed):
+    def _send_summary(self, failed):
         loads = self._totals.make_loads(
             self._dispatcher.list_servers(), self._measure_zone_load
         )
@@ -215,7 +217,7 @@
         report = self._make_report(loads, summary=True, partial=bool(failed))
         data = encode_report(report)
         for record in choose_recipients(self.peers, self._views, bool(failed)):
-            await self._send(data, record.control)
+            self._send(data, record.control)
 
     def _measure_zone_load(self, server):
         """Return what the instances of this zone have in flight at a server."""
@@ -223,7 +225,7 @@
             server.read_peer_load(name) for name in self.peers.peers
         )
 
-    async def _send_report(self, scope):
+    def _send_report(self, scope):
         """Report to the peers in scope, and to those whose time has come."""
         now = trio.current_time()
         lost = self.peers.expire(now)
@@ -237,7 +239,7 @@
             if interval not in encoded:
                 report = self._make_report(loads, interval=interval)
                 encoded[interval] = encode_report(report)
-            await self._send(encoded[interval], peer.record.control)
+            self._send(encoded[interval], peer.record.control)
 
     def _list_silent(self):
         """Return the peers that fell silent lately, if this instance is the speaker."""
@@ -255,11 +257,12 @@
         zones.discard(self.peers.own.zone)
         self._dispatcher.set_unattended(self._views.list_quiet(zones, now))
 
-    async def _send(self, data, address):
+    def _send(self, data, address):
+        # Not through trio, which would pass through its scheduler for each datagram.
         try:
-            await self._socket.sendto(data, (address.host, address.port))
+            self._socket.sendto(data, (address.host, address.port))
         except OSError as error:
-            # A full link or an absent route; the next report makes it good.
+            # A full buffer or an absent route; the next report makes it good.
             self._metrics.count("reports_unsent", error=type(error).__name__)
 
     def _make_report(
@@ -314,8 +317,9 @@
 
     async def _receive(self):
         while True:
+            await trio.lowlevel.wait_readable(self._socket)
             try:
-                data, source = await self._socket.recvfrom(_DATAGRAM_BYTES)
+                data, source = self._socket.recvfrom(_DATAGRAM_BYTES)
             except OSError as error:
                 # An earlier datagram met a closed port.
                 self._metrics.count("reports_undelivered", error=type(error).__name__)
@@ -325,12 +329,12 @@
             except MessageError as error:
                 self._metrics.count("messages_rejected", reason=str(error)[:32])
                 continue
-            await self._take_report(report, data, source[0])
+            self._take_report(report, data, source[0])
 
-    async def _take_report(self, report, data, host):
+    def _take_report(self, report, data, host):
         now = trio.current_time()
         if report.summary:
-            await self._take_summary(report, data, host, now)
+            self._take_summary(report, data, host, now)
             return
         peer = self.peers.note_report(report, now)
         if peer is None:
@@ -340,7 +344,7 @@
         is_first = peer.counts is None
         if is_first or report.wants_reply:
             reply = encode_report(self._make_report(self._list_loads(whole=True)))
-            await self._send(reply, report.sender.control)
+            self._send(reply, report.sender.control)
         if is_first:
             # Totals from before this instance heard of them say little of the present.
             peer.counts = {load.server: load.counts for load in report.loads}
@@ -350,15 +354,17 @@
             self._add_total(server, kind, number)
         self._view.note_versions(peer)
 
-    async def _take_summary(self, report, data, host, now):
+    def _take_summary(self, report, data, host, now):
         zone = report.sender.zone
         if zone == self.peers.own.zone or not self._views.accept(report, now):
             return
         self.peers.add_instance(report.sender, now)
         if host == report.sender.control.host:
-            # It came from the other zone; peers do not relay it further.
-            for peer in self.peers.list_alive():
-                await self._send(data, peer.record.control)
+            # It came from the other zone; peers do not relay it further. Failures that
+            # are told at once concern those that callers are sent to.
+            scope = Scope.CLOSE if report.partial else Scope.ALL
+            for peer in self._schedule.list_within(scope):
+                self._send(data, peer.record.control)
         self._apply_loads(_zone_key(zone), self._views.find_counts(zone), report, now)
 
     def _apply_loads(self, key, counts, report, now):
--- a/kumquatsaddle/sharing/peers.py
+++ b/kumquatsaddle/sharing/peers.py
@@ -19,7 +19,7 @@
 _SHARED_PATIENCE = _MISSED_REPORTS * CLOSE_INTERVAL + _LATE_TIME
 # Callers are sent to a part of the instances of a zone: what one instance sees of the
 # load of the servers is exact, and few have to be told.
-_ACTIVE_SHARE = 0.25
+_ACTIVE_SHARE = 1 / 6
 _FEWEST_ACTIVE = 4
 # Former incarnations of a peer whose late datagrams are dropped.
 _MOST_FORMER = 8
--- a/kumquatsaddle/sharing/schedule.py
+++ b/kumquatsaddle/sharing/schedule.py
@@ -104,6 +104,14 @@
             self._told[name] = due, interval
         return recipients
 
+    def list_within(self, scope):
+        """Return the peers that are alive and within a `Scope`."""
+        return [
+            peer
+            for name, peer in self._peers.peers.items()
+            if peer.alive and self._is_within(name, scope)
+        ]
+
     def _measure_interval(self, peer):
         own, name = self._peers.own.name, peer.record.name
         if not peer.alive:
--- a/kumquatsaddle/sharing/tests/steps/exchange.py
+++ b/kumquatsaddle/sharing/tests/steps/exchange.py
@@ -69,9 +69,9 @@
         self.sent = 0
         send = self.exchange._send
 
-        async def count(data, address):
+        def count(data, address):
             self.sent += 1
-            await send(data, address)
+            send(data, address)
 
         self.exchange._send = count
 
@@ -102,7 +102,7 @@
             trio.lowlevel.spawn_system_task(instance.run)
         await trio.sleep(0.1)
         for instance in context.instances:
-            await instance.exchange.introduce(
+            instance.exchange.introduce(
                 [peer.record.control for peer in instance.peers.peers.values()]
             )
         await trio.sleep(_SETTLE)
