--- a/kumquatsaddle/balance/choice.py
+++ b/kumquatsaddle/balance/choice.py
@@ -4,12 +4,12 @@
 whether the answer has to cross zones. The cheapest server with a free slot is chosen.
 """
 
-__all__ = ["CHOICE_WEIGHTS", "choose_server", "is_explorable", "measure_cost"]
-
 from dataclasses import dataclass
 
 from kumquatsaddle.types import Rank
 
+__all__ = ["CHOICE_WEIGHTS", "choose_server", "is_explorable", "measure_cost"]
+
 
 @dataclass(frozen=True, slots=True)
 class ChoiceWeights:
--- a/kumquatsaddle/sharing/exchange.py
+++ b/kumquatsaddle/sharing/exchange.py
@@ -13,6 +13,7 @@
 from kumquatsaddle.balance.beliefs import Observation
 from kumquatsaddle.exceptions import MessageError
 from kumquatsaddle.sharing.fetches import fetch_update, serve_fetch
+from kumquatsaddle.sharing.loads import ToldLoads
 from kumquatsaddle.sharing.messages import (
     COUNTED,
     Fetch,
@@ -40,14 +41,11 @@
 _DATAGRAM_BYTES = 65536
 # Loads in one datagram; the busiest servers go first.
 _MOST_LOADS = 200
-# Observations of one kind in one report that count as evidence on a server.
-_MOST_COUNTED = 5
 _BACKLOG = 256
 # Chance of a failure from which the start of a request at a server is news, and the
 # time in seconds after which it is told: it has not failed at once then.
 _DOUBTFUL = 0.04
 _PROOF_TIME = 0.075
-_NOTHING = (0,) * len(COUNTED)
 
 
 class ZoneExchange:
@@ -82,8 +80,7 @@
         self._schedule = ReportSchedule(peers)
         # When peers fell silent, by name.
         self._silent = {}
-        # Servers at which each peer or zone last told of requests in flight.
-        self._loaded = {}
+        self._told = ToldLoads(dispatcher)
         dispatcher.on_load = self._note_load
         dispatcher.on_answer = self._note_answer
 
@@ -127,13 +124,6 @@
         fetch = Fetch(self.peers.own.name, routes_after, servers_after)
         return await fetch_update(address, fetch, timeout)
 
-    def _drop_loads(self, key):
-        """Drop the loads of a peer or zone that has fallen silent."""
-        self._loaded.pop(key, None)
-        for server in self._dispatcher.list_servers():
-            server.set_peer_load(key, 0)
-        self._wake_all()
-
     def _note_load(self, server):
         now = trio.current_time()
         self._touched[server.name] = now
@@ -202,7 +192,7 @@
             self._summary_due = trio.Event()
             now = trio.current_time()
             for zone in self._views.expire(now):
-                self._drop_loads(_zone_key(zone))
+                self._told.drop(_zone_key(zone))
             failed, self._totals.failed = self._totals.failed, set()
             if self.peers.is_speaker():
                 self._send_summary(failed)
@@ -230,7 +220,7 @@
         now = trio.current_time()
         lost = self.peers.expire(now)
         for peer in lost:
-            self._drop_loads(peer.record.name)
+            self._told.drop(peer.record.name)
             self._silent[peer.record.name] = now
         if lost and self.peers.is_speaker():
             scope = Scope.ALL
@@ -340,7 +330,7 @@
         if peer is None:
             return
         for silent in self.peers.note_silent(report.silent, now):
-            self._drop_loads(silent.record.name)
+            self._told.drop(silent.record.name)
         is_first = peer.counts is None
         if is_first or report.wants_reply:
             reply = encode_report(self._make_report(self._list_loads(whole=True)))
@@ -348,7 +338,7 @@
         if is_first:
             # Totals from before this instance heard of them say little of the present.
             peer.counts = {load.server: load.counts for load in report.loads}
-        for server, kind, number in self._apply_loads(
+        for server, kind, number in self._told.apply(
             peer.record.name, peer.counts, report, now
         ):
             self._add_total(server, kind, number)
@@ -365,34 +355,7 @@
             scope = Scope.CLOSE if report.partial else Scope.ALL
             for peer in self._schedule.list_within(scope):
                 self._send(data, peer.record.control)
-        self._apply_loads(_zone_key(zone), self._views.find_counts(zone), report, now)
-
-    def _apply_loads(self, key, counts, report, now):
-        """Take over the loads of a peer or zone; return its new observations."""
-        woken, observed = False, []
-        before = self._loaded.get(key, frozenset())
-        loaded = {load.server for load in report.loads if load.in_flight}
-        named = {load.server for load in report.loads}
-        self._loaded[key] = before | loaded if report.partial else loaded
-        for load in report.loads:
-            server = self._dispatcher.find_server(load.server)
-            if server is None:
-                continue
-            woken |= server.set_peer_load(key, load.in_flight, load.started)
-            observed += _apply_counts(counts, server, load, now)
-        if not report.partial:
-            for name in before - named:
-                server = self._dispatcher.find_server(name)
-                if server is not None:
-                    woken |= server.set_peer_load(key, 0)
-        if woken or observed:
-            self._wake_all()
-        return observed
-
-    def _wake_all(self):
-        for pool in self._dispatcher.pools.values():
-            if pool.waiting():
-                pool.wake()
+        self._told.apply(_zone_key(zone), self._views.find_counts(zone), report, now)
 
     async def _serve_fetch(self, stream):
         await serve_fetch(stream, self._view.make_update, self._metrics)
@@ -406,28 +369,3 @@
 def _zone_key(zone):
     """Return the key of the loads of another zone; no instance has such a name."""
     return f"zone:{zone}"
-
-
-def _apply_counts(known, server, load, now):
-    """Observe what another instance or zone has seen since its last report.
-
-    Returns
-    -------
-    list of (BalancedServer, Observation, int)
-    """
-    before = known.get(load.server, _NOTHING)
-    if before == load.counts:
-        return []
-    known[load.server] = load.counts
-    if any(a < b for a, b in zip(load.counts, before, strict=True)):
-        new = load.counts
-    else:
-        new = [a - b for a, b in zip(load.counts, before, strict=True)]
-    observed = []
-    for kind, number in zip(COUNTED, new, strict=True):
-        number = min(number, _MOST_COUNTED)
-        for _ in range(number):
-            server.observe(now, kind)
-        if number:
-            observed.append((server, kind, number))
-    return observed
