Prove that versions never go back and that only readers tell of changes

Cause: the order of versions from the store and from peers was tested case by case, and the rule that only the reader of the store tells of a change had no test. Change: a property over any order, and a scenario that counts reports.

--- a/kumquatsaddle/discovery/tests/follower.feature
+++ b/kumquatsaddle/discovery/tests/follower.feature
@@ -41,3 +41,13 @@
     When 3 seconds pass
     And an older version and a broken one are published
     Then the follower keeps the version that it had
+
+  Scenario: Versions from the store and from peers never go back
+    # Guards against an older configuration or an undone drain, whatever comes late.
+    Then any order of versions from the store and from peers leaves the newest in force
+
+  Scenario: Only who reads the store tells of its changes
+    # Guards against a change that each instance of a zone tells all others: 1,100
+    # datagrams and as many fetches for one drain in a zone of 34.
+    Given a follower without peers
+    Then it reports a change that the store told, and none that a peer told
--- a/kumquatsaddle/discovery/tests/steps/follower.py
+++ b/kumquatsaddle/discovery/tests/steps/follower.py
@@ -3,6 +3,8 @@
 import trio
 import trio.testing
 from behave import given, then, when
+from hypothesis import given as for_all
+from hypothesis import strategies as st
 
 from kumquatsaddle.discovery.follower import make_follower
 from kumquatsaddle.discovery.records import InstanceRecord, ServerRecord
@@ -11,7 +13,7 @@
 from kumquatsaddle.exceptions import ConfigurationError, HistoryLostError
 from kumquatsaddle.routes import make_route_table
 from kumquatsaddle.settings.parsers import Address
-from kumquatsaddle.sharing.messages import Report
+from kumquatsaddle.sharing.messages import Report, RowText, Update
 from kumquatsaddle.sharing.peers import PeerTable
 
 RECORD = ServerRecord("a", 1, "s", Address("127.0.0.1", 1), "z", 6, False)
@@ -64,6 +66,9 @@
             raise ConfigurationError("is broken")
         return make_route_table(int(text), [], {})
 
+    def parse_server(self, key, text):
+        return replace(RECORD, draining=text == b"draining")
+
     def _read(self, rows):
         self.calls.append(trio.current_time())
         return Snapshot(list(rows), self.version)
@@ -216,3 +221,76 @@
 @then("the follower keeps the version that it had")
 def check_kept(context):
     assert play(context).follower.routes.version == 7
+
+
+class Exchange:
+    """Counts the reports that are due at once."""
+
+    def __init__(self):
+        self.reports = 0
+
+    def report_now(self):
+        self.reports += 1
+
+
+def make_loose_follower():
+    """Return a follower that does not run, and the versions that came into force."""
+    in_force = []
+
+    async def take(records):
+        pass
+
+    follower = make_follower(
+        Store(),
+        PeerTable(make_instance("m")),
+        take,
+        lambda routes: in_force.append(routes.version),
+    )
+    follower.exchange = Exchange()
+    return follower, in_force
+
+
+async def tell(follower, version, by_peer):
+    """Tell a version of the routes, and that the server drains from version 5 on."""
+    text, drains = b"%d" % version, version >= 5
+    if by_peer:
+        entry = RowText("a", version, False, b"draining" if drains else b"")
+        await follower._apply_update(Update(version, text, version, (entry,), ()))
+    else:
+        row = ListedRow("a", version, replace(RECORD, draining=drains))
+        await follower._take_routes(Snapshot([RouteRow(version, text)], version))
+        await follower._take_changes(Snapshot([row], version))
+
+
+@then("any order of versions from the store and from peers leaves the newest in force")
+def check_order(context):
+    events = st.lists(st.tuples(st.integers(1, 9), st.booleans()), min_size=1)
+
+    @for_all(events)
+    def check(told):
+        async def run():
+            follower, in_force = make_loose_follower()
+            for number, (version, by_peer) in enumerate(told, 1):
+                await tell(follower, version, by_peer)
+                newest = max(version for version, _ in told[:number])
+                assert follower.routes.version == newest
+                (record,) = follower.servers.list_records()
+                assert record.draining == (newest >= 5)
+            assert in_force == sorted(set(in_force)), in_force
+
+        trio.run(run)
+
+    check()
+
+
+@then("it reports a change that the store told, and none that a peer told")
+def check_told(context):
+    async def run():
+        follower, _ = make_loose_follower()
+        await tell(follower, 1, by_peer=True)
+        assert follower.exchange.reports == 0
+        await tell(follower, 6, by_peer=False)
+        # One of the routes and one of the list.
+        assert follower.exchange.reports == 2
+
+    trio.run(run)
