--- a/kumquatsaddle/balance/tests/steps/evidence.py
+++ b/kumquatsaddle/balance/tests/steps/evidence.py
@@ -262,15 +262,21 @@
     assert choose_at(context, 1.5) is context.servers[1]
 
 
+def make_full_pool(count):
+    """Return a pool whose servers have more requests than slots."""
+    pool = BalancedPool("here", OWN_PROTOCOL, RepeatTerms(0.1, 1, 10), RouteTimes())
+    records = [make_server(f"s{number}").record for number in range(count)]
+    pool.update({record.name: record for record in records})
+    for server in pool.servers.values():
+        for number in range(8):
+            server.begin(number, 0.0, 5.0)
+    return pool
+
+
 @then("with {count:d} waiting requests a change costs one choice for each kind")
 def check_choices(context, count):
     async def run():
-        pool = BalancedPool("here", OWN_PROTOCOL, RepeatTerms(0.1, 1, 10), RouteTimes())
-        records = [make_server(f"s{n}").record for n in range(context.server_count)]
-        pool.update({record.name: record for record in records})
-        for server in pool.servers.values():
-            for number in range(8):
-                server.begin(number, 0.0, 5.0)
+        pool = make_full_pool(context.server_count)
         async with trio.open_nursery() as nursery:
             for _ in range(count):
                 request = make_request(now=trio.current_time())
@@ -291,12 +297,7 @@
 @then("while all are full a waiting request weighs none of them")
 def check_weighed(context):
     async def run():
-        pool = BalancedPool("here", OWN_PROTOCOL, RepeatTerms(0.1, 1, 10), RouteTimes())
-        records = [make_server(f"s{n}").record for n in range(context.server_count)]
-        pool.update({record.name: record for record in records})
-        for server in pool.servers.values():
-            for number in range(8):
-                server.begin(number, 0.0, 5.0)
+        pool = make_full_pool(context.server_count)
         request = make_request(now=trio.current_time())
         assert pool._choose(request, frozenset()) is None
         weighed = []
