Run pipelined requests of a caller at the same time

Cause: callers of the further deployments send idempotent requests before the first one is answered. They were taken one after the other, so that one slow request held up the work of all behind it, and their deadlines began only when their turn came.

Change: each request that was read runs in a task of its own, at most 8 for each connection, and answers leave in the order of the requests. A request that is not idempotent runs alone. Connection: close is sent only with the answer to the newest request that was started; what was received behind it is never started.

--- a/benchmarks/library_roles.py
+++ b/benchmarks/library_roles.py
@@ -98,6 +98,9 @@
 
 
 class _TrivialProxy:
+    def allows_overlap(self, request):
+        return True
+
     async def answer(self, request):
         await trio.sleep(_RESPONSE_DELAYS_SECONDS.get(request.target, 0.0))
         headers = ((b"Content-Type", b"application/json"),)
--- a/kumquatsaddle/commands/tests/steps/load.py
+++ b/kumquatsaddle/commands/tests/steps/load.py
@@ -28,6 +28,9 @@
         self.requests = []
         self.address = None
 
+    def allows_overlap(self, request):
+        return False
+
     async def answer(self, request):
         if "addresses" in request.target:
             self.address_requests += 1
--- a/kumquatsaddle/entry/caller_connections.py
+++ b/kumquatsaddle/entry/caller_connections.py
@@ -1,22 +1,25 @@
 """HTTP/1.1 connection of a caller, whose requests are answered in order.
 
-One task reads from the socket and another one answers the requests. Raw heads are
-checked by `kumquatsaddle.entry.heads` before h11 parses them.
+One task receives bytes, one reads requests, and each request that was started has a
+task of its own. A caller may send further requests before the first one is answered
+(pipelining): idempotent ones run at the same time, and their answers are sent in the
+order of the requests (RFC 9112, section 9.3.2).
+
+An answer with ``Connection: close`` is the last one on its connection. It is always the
+answer to the newest request that was started, so that every request that was started
+gets an answer, and none that was received behind it is ever started.
 """
 
-import math
-from enum import Enum
+from collections import deque
 
-import h11
 import trio
 
 from kumquatsaddle.entry.answers import encode_answer
-from kumquatsaddle.entry.heads import (
-    RequestReadError,
-    check_head,
-    find_head_end,
-    has_operation_header,
-    reject_repeated_headers,
+from kumquatsaddle.entry.heads import RequestReadError, has_operation_header
+from kumquatsaddle.entry.request_reader import (
+    CallerRequest,
+    ReadPhase,
+    RequestReader,
 )
 from kumquatsaddle.entry.streams import CallerStream
 from kumquatsaddle.exchange import Answer
@@ -27,50 +30,35 @@
 
 # The write timeout applies to each part of an answer of this size.
 _MAX_WRITE_BYTES = 65536
-# Body chunks that are parsed before other tasks may run. The read-ahead buffer can hold
-# 10,000 chunks of one byte, which h11 takes 100 ms to parse.
-_EVENTS_BEFORE_YIELD = 64
 # Maximum time for a caller to close its side after the last answer.
 _LINGER_SECONDS = 2.0
+# Requests of one connection that run or wait for their turn to be answered.
+_MAX_PIPELINED_REQUESTS = 8
+# Bodies of answers that wait for earlier ones, above which no request is started.
+_MAX_WAITING_ANSWER_BYTES = 1 << 20
 
 
-class CallerRequest:
-    """A complete request as read from a caller."""
-
-    __slots__ = ("method", "target", "headers", "body")
-
-    def __init__(self, method, target, headers, body):
-        self.method = method
-        self.target = target
-        self.headers = headers
-        self.body = body
-
-    def get_header(self, name):
-        """Return the value of a header as text, or "" if the header is missing.
-
-        Parameters
-        ----------
-        name : bytes
-            In lower case.
-
-        Raises
-        ------
-        ValueError
-            If the header is given more than once or is not ASCII.
-        """
-        values = [value for key, value in self.headers if key == name]
-        if len(values) > 1:
-            raise ValueError(f"{name.decode()} header is given more than once")
-        return values[0].decode("ascii") if values else ""
+class _PendingRequest:
+    """A request that was started and whose answer is not sent yet.
 
+    Parameters
+    ----------
+    request : CallerRequest
+    previous : _PendingRequest or None
+        The request whose answer precedes.
+    body_bytes : int
+        Memory reserved for the body.
+    """
 
-class _Phase(Enum):
-    """State of a connection; determines what the cancellation of its scope means."""
+    __slots__ = ("request", "previous", "body_bytes", "scope", "answer", "finished")
 
-    IDLE = "idle"
-    READING = "reading"
-    RUNNING = "running"
-    WRITING = "writing"
+    def __init__(self, request, previous, body_bytes):
+        self.request = request
+        self.previous = previous
+        self.body_bytes = body_bytes
+        self.scope = trio.CancelScope()
+        self.answer = None
+        self.finished = trio.Event()
 
 
 class CallerConnection:
@@ -88,11 +76,16 @@
         self._settings = server.node.settings
         self._input = CallerStream(stream)
         self._stream = stream
-        self._parser = None
-        self._phase = _Phase.READING
-        self._phase_scope = trio.CancelScope()
-        self._raw_head = b""
-        self._body_bytes = 0
+        self._reader = RequestReader(self._input, self._settings, self)
+        self._pending = deque()
+        self._request_finished = trio.Event()
+        # Body memory reserved for the request that is read.
+        self._unstarted_bytes = 0
+        self._waiting_answer_bytes = 0
+        # Whether an answer with Connection: close was chosen.
+        self._closing = False
+        # Whether an answer is missing, so that no later one may be sent.
+        self._aborted = False
 
     async def run(self):
         """Answer the requests of the connection in order."""
@@ -100,7 +93,7 @@
             await self._do_handshake()
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._input.run)
-                await self._answer_requests()
+                await self._serve_requests()
                 nursery.cancel_scope.cancel()
         except* (trio.BrokenResourceError, trio.ClosedResourceError):
             self._metrics.count("caller_connections_broken")
@@ -112,209 +105,171 @@
             self._metrics.count("caller_connections_failed")
             log_event("caller_connection_failed", level="ERROR", error=repr(error))
         finally:
-            self._release_body_memory()
+            self._release_body_memory(self._unstarted_bytes)
 
     def close_if_idle(self):
         """End the connection if no byte of a request has arrived."""
-        if self._phase is _Phase.IDLE and self._input.is_idle():
-            self._phase_scope.cancel()
+        if not self._pending and self._reader.is_idle():
+            self._reader.scope.cancel()
+
+    def has_pending(self):
+        """Return whether a request was started whose answer is not sent yet."""
+        return bool(self._pending)
+
+    def reserve_body_memory(self, size):
+        """Count `size` bytes of the body of the request that is read.
+
+        Raises
+        ------
+        RequestReadError
+            If the bodies of all connections exceed their limit.
+        """
+        self._unstarted_bytes += size
+        self._server.pending_bytes += size
+        self._update_pending_gauge()
+        if self._server.pending_bytes > self._settings.get("limits", "pending_bytes"):
+            raise RequestReadError(RefusalReason.BODIES_TOO_LARGE)
+
+    async def send_interim_response(self, data):
+        """Send an interim response (1xx) once all earlier requests are answered."""
+        while self._pending:
+            await self._wait_for_finished_request()
+        await self._write(data)
 
     async def _do_handshake(self):
         if isinstance(self._stream, trio.SSLStream):
             with trio.fail_after(self._settings.get("limits", "head_timeout")):
                 await self._stream.do_handshake()
 
-    async def _answer_requests(self):
-        connection_ends = False
-        while not connection_ends:
-            refusal = None
-            # Moving the deadline of one scope costs less than a scope for each phase.
-            with trio.CancelScope() as self._phase_scope:
-                refusal = await self._serve_requests()
-                connection_ends = True
-            if self._phase_scope.cancelled_caught:
-                connection_ends, refusal = await self._handle_cancelled_phase()
-            if refusal is not None:
-                await self._send_refusal(refusal)
-
-    async def _handle_cancelled_phase(self):
-        """Decide how the connection continues after its phase was cancelled.
+    async def _serve_requests(self):
+        """Read, run and answer requests until the connection ends."""
+        self._input.on_end = self._cancel_requests
+        async with trio.open_nursery() as nursery:
+            refusal = await self._read_requests(nursery)
+        if self._closing:
+            await self._input.linger(_LINGER_SECONDS)
+        elif refusal is not None and not self._aborted:
+            await self._send_refusal(refusal)
+
+    async def _read_requests(self, nursery):
+        """Start requests until the connection ends.
 
         Returns
         -------
-        connection_ends : bool
-        refusal : RefusalReason or None
-            Reason to send to the caller.
+        RefusalReason or None
+            Why the request after the last one that was started is refused.
         """
-        if self._phase is _Phase.IDLE:
+        while True:
+            with trio.CancelScope() as self._reader.scope:
+                return await self._start_requests(nursery)
+            if self._closing:
+                return None
+            if self._reader.phase is not ReadPhase.IDLE:
+                return RefusalReason.REQUEST_TIMEOUT
             # No other task runs between this check and the close: a byte that arrived
             # before starts a request, and a later one meets a closed connection.
-            if self._input.is_idle():
+            if not self._pending and self._input.is_idle():
                 await trio.aclose_forcefully(self._stream)
-            return self._input.ended, None
-        if self._phase is _Phase.READING:
-            return True, RefusalReason.REQUEST_TIMEOUT
-        if self._input.ended:
-            self._metrics.count_refusal(RefusalReason.CALLER_GONE)
-            return True, None
-        # The caller did not read the answer within the write timeout.
-        raise trio.TooSlowError
+                return None
 
-    async def _send_refusal(self, reason):
-        self._metrics.count_refusal(reason)
-        with trio.CancelScope() as self._phase_scope:
-            # An earlier request with the same operation id or key may have run, so
-            # the answer to one of these must not be NOT_RUN.
-            refuse = (
-                Answer.unknown
-                if has_operation_header(self._raw_head)
-                else Answer.from_reason
-            )
-            await self._write(encode_answer(refuse(reason), close=True))
-        if self._phase_scope.cancelled_caught:
-            raise trio.TooSlowError
-        await self._input.linger(_LINGER_SECONDS)
-
-    async def _serve_requests(self):
-        """Answer requests until the connection ends.
-
-        Returns
-        -------
-        RefusalReason or None
-            Why the last request is refused.
-        """
-        while await self._wait_for_request():
+    async def _start_requests(self, nursery):
+        while await self._reader.wait_for_request():
             try:
-                request = await self._read_request()
+                request = await self._reader.read_request()
             except RequestReadError as error:
                 return error.reason
+            await self._wait_for_turn(request)
+            if self._closing:
+                return None
             if self._input.ended:
                 return RefusalReason.CALLER_GONE
-            answer = await self._run_request(request)
-            # After HTTP/1.0 or Connection: close, h11 is in another state than DONE.
-            close = self._server.leaving or self._parser.their_state is not h11.DONE
-            await self._write(encode_answer(answer, close, request.method == "HEAD"))
-            self._release_body_memory()
-            if close:
-                self._phase_scope.deadline = math.inf
-                await self._input.linger(_LINGER_SECONDS)
+            previous = self._pending[-1] if self._pending else None
+            pending = _PendingRequest(request, previous, self._unstarted_bytes)
+            self._unstarted_bytes = 0
+            self._pending.append(pending)
+            nursery.start_soon(self._answer_request, pending)
+            if request.ends_connection:
                 break
-            self._restore_trailing_data()
         return None
 
-    def _enter_phase(self, phase, timeout):
-        self._phase = phase
-        self._phase_scope.deadline = trio.current_time() + timeout
+    async def _wait_for_turn(self, request):
+        """Wait until a request may run beside the pending ones."""
+        self._reader.pause()
+        while self._pending and not self._may_overlap(request):
+            await self._wait_for_finished_request()
+
+    def _may_overlap(self, request):
+        if self._server.leaving or len(self._pending) >= _MAX_PIPELINED_REQUESTS:
+            return False
+        if self._waiting_answer_bytes > _MAX_WAITING_ANSWER_BYTES:
+            return False
+        allows_overlap = self._server.proxy.allows_overlap
+        return allows_overlap(request) and allows_overlap(self._pending[-1].request)
 
-    async def _wait_for_request(self):
-        """Wait for a first byte; return False if the connection ends without one."""
-        if not self._input.buffer:
-            self._enter_phase(_Phase.IDLE, self._settings.get("limits", "idle_timeout"))
-            await self._input.wait_for_data()
-            # A timeout at this moment must not count as a timeout of the request.
-            await trio.lowlevel.checkpoint_if_cancelled()
-        return bool(self._input.buffer)
+    async def _wait_for_finished_request(self):
+        self._request_finished = trio.Event()
+        await self._request_finished.wait()
 
-    async def _run_request(self, request):
-        """Return the answer to a request.
+    def _cancel_requests(self):
+        """Cancel the requests that run, because the caller has gone.
 
-        The request is cancelled when its caller disconnects. The ledger shields
-        operations that must not be interrupted.
+        The ledger shields operations that must not be interrupted.
         """
-        await trio.lowlevel.checkpoint_if_cancelled()
-        self._phase = _Phase.RUNNING
-        self._phase_scope.deadline = math.inf
-        self._input.scope_to_cancel = self._phase_scope
-        answer = await self._server.proxy.answer(request)
-        self._input.scope_to_cancel = None
-        return answer
-
-    async def _read_request(self):
-        head, length = await self._read_head()
-        self._parser = h11.Connection(h11.SERVER)
-        self._parser.receive_data(head)
+        for pending in self._pending:
+            pending.scope.cancel()
+
+    async def _answer_request(self, pending):
+        answer_bytes = 0
         try:
-            event = self._parser.next_event()
-            reject_repeated_headers(event.headers)
-            body = await self._read_body(length) if length != 0 else b""
-            if length == 0:
-                self._parser.next_event()
-        except h11.RemoteProtocolError:
-            raise RequestReadError(RefusalReason.BAD_REQUEST) from None
-        return CallerRequest(
-            event.method.decode("ascii"),
-            event.target.decode("ascii"),
-            list(event.headers),
-            body,
-        )
+            with pending.scope:
+                pending.answer = await self._server.proxy.answer(pending.request)
+            if pending.answer is None:
+                self._metrics.count_refusal(RefusalReason.CALLER_GONE)
+                self._aborted = True
+                return
+            if pending.previous is not None:
+                answer_bytes = len(pending.answer.body)
+                self._waiting_answer_bytes += answer_bytes
+                await pending.previous.finished.wait()
+                pending.previous = None
+            if not self._aborted:
+                await self._send_answer(pending)
+        finally:
+            self._waiting_answer_bytes -= answer_bytes
+            self._finish_request(pending)
+
+    async def _send_answer(self, pending):
+        is_newest = pending is self._pending[-1]
+        ends = self._server.leaving or pending.request.ends_connection
+        self._closing = is_newest and ends
+        if self._closing:
+            self._reader.scope.cancel()
+        is_head = pending.request.method == "HEAD"
+        await self._write(encode_answer(pending.answer, self._closing, is_head))
+
+    def _finish_request(self, pending):
+        self._pending.remove(pending)
+        self._release_body_memory(pending.body_bytes)
+        pending.finished.set()
+        self._request_finished.set()
+        if not self._pending:
+            self._reader.restart_idle_timeout()
 
-    async def _read_head(self):
-        settings = self._settings
-        max_head_bytes = settings.get("limits", "header_bytes")
-        self._enter_phase(_Phase.READING, settings.get("limits", "head_timeout"))
-        while not (size := find_head_end(self._input.buffer, max_head_bytes)):
-            self._raw_head = bytes(self._input.buffer[:max_head_bytes])
-            if self._input.ended:
-                raise RequestReadError(RefusalReason.CALLER_GONE)
-            await self._input.wait_for_data()
-        head = self._raw_head = self._input.take(size)
-        return head, check_head(head, settings.get("limits", "body_bytes"))
-
-    async def _read_body(self, length):
-        settings = self._settings
-        timeout = settings.get("limits", "body_timeout")
-        rate = settings.get("limits", "minimum_rate")
-        max_body_bytes = settings.get("limits", "body_bytes")
-        await self._send_continue()
-        self._enter_phase(_Phase.READING, timeout)
-        body, events, started = bytearray(), 0, trio.current_time()
-        while True:
-            event = await self._read_body_event(length, len(body))
-            if isinstance(event, h11.EndOfMessage):
-                return bytes(body)
-            # For a body in small chunks, a list of parts would take 40 times its size.
-            body += event.data
-            if len(body) > max_body_bytes:
-                raise RequestReadError(RefusalReason.BODY_TOO_LARGE)
-            self._reserve_body_memory(len(event.data))
-            self._phase_scope.deadline = started + timeout + len(body) / rate
-            events += 1
-            if events % _EVENTS_BEFORE_YIELD == 0:
-                await trio.lowlevel.checkpoint()
-
-    async def _send_continue(self):
-        if self._parser.they_are_waiting_for_100_continue:
-            interim_response = h11.InformationalResponse(status_code=100, headers=[])
-            await self._write(self._parser.send(interim_response))
-
-    async def _read_body_event(self, length, size):
-        while (event := self._parser.next_event()) is h11.NEED_DATA:
-            while not self._input.buffer:
-                if self._input.ended:
-                    raise RequestReadError(RefusalReason.CALLER_GONE)
-                await self._input.wait_for_data()
-            count = None if length is None else length - size
-            self._parser.receive_data(self._input.take(count))
-        return event
-
-    def _restore_trailing_data(self):
-        # Bytes that h11 received after a chunked body belong to the next request. They
-        # go back to the buffer because the head of that request must be checked first.
-        data, _ = self._parser.trailing_data
-        if data:
-            self._input.buffer[:0] = data
-
-    def _reserve_body_memory(self, size):
-        self._body_bytes += size
-        self._server.pending_bytes += size
-        self._update_pending_gauge()
-        if self._server.pending_bytes > self._settings.get("limits", "pending_bytes"):
-            raise RequestReadError(RefusalReason.BODIES_TOO_LARGE)
+    async def _send_refusal(self, reason):
+        self._metrics.count_refusal(reason)
+        # An earlier request with the same operation id or key may have run, so the
+        # answer to one of these must not be NOT_RUN.
+        refuse = (
+            Answer.unknown
+            if has_operation_header(self._reader.raw_head)
+            else Answer.from_reason
+        )
+        await self._write(encode_answer(refuse(reason), close=True))
+        await self._input.linger(_LINGER_SECONDS)
 
-    def _release_body_memory(self):
-        if self._body_bytes:
-            self._server.pending_bytes -= self._body_bytes
-            self._body_bytes = 0
+    def _release_body_memory(self, size):
+        if size:
+            self._server.pending_bytes -= size
             self._update_pending_gauge()
 
     def _update_pending_gauge(self):
@@ -324,5 +279,5 @@
     async def _write(self, data):
         timeout = self._settings.get("limits", "write_timeout")
         for start in range(0, len(data), _MAX_WRITE_BYTES):
-            self._enter_phase(_Phase.WRITING, timeout)
-            await self._stream.send_all(data[start : start + _MAX_WRITE_BYTES])
+            with trio.fail_after(timeout):
+                await self._stream.send_all(data[start : start + _MAX_WRITE_BYTES])
--- a/kumquatsaddle/entry/heads.py
+++ b/kumquatsaddle/entry/heads.py
@@ -65,7 +65,6 @@
     Parameters
     ----------
     buffer : bytearray
-        Empty lines at its start are removed (RFC 9112, section 2.2).
     max_bytes : int
         Maximum size of the head.
 
@@ -74,8 +73,6 @@
     RequestReadError
         If the head exceeds `max_bytes`.
     """
-    while buffer.startswith(b"\r\n"):
-        del buffer[:2]
     end = buffer.find(_HEAD_END, 0, max_bytes)
     if end >= 0:
         return end + len(_HEAD_END)
--- a/kumquatsaddle/entry/proxy.py
+++ b/kumquatsaddle/entry/proxy.py
@@ -45,6 +45,8 @@
 _RESERVED_HEADER_PREFIX = b"kumquatsaddle-"
 IDEMPOTENCY_KEY_HEADER = b"idempotency-key"
 ATTEMPT_HEADER = b"kumquatsaddle-attempt"
+# RFC 9110, section 9.2.1.
+_SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "TRACE"})
 
 
 class Proxy:
@@ -84,6 +86,32 @@
             self._node.metrics.count_refusal(answer.reason)
         return answer
 
+    def allows_overlap(self, caller_request):
+        """Return whether a request may run beside others of its connection.
+
+        Parameters
+        ----------
+        caller_request : CallerRequest
+
+        Returns
+        -------
+        bool
+            Only for idempotent requests with a safe method (RFC 9112, section 9.3.2):
+            a read behind an idempotent write must see what it has written.
+        """
+        if caller_request.method not in _SAFE_METHODS:
+            return False
+        if caller_request.target.startswith(RESERVED_PREFIX):
+            return True
+        try:
+            account = AccountId(caller_request.get_header(_ACCOUNT_HEADER))
+            route = self._node.configuration.resolve_route(
+                account, caller_request.method, _extract_path(caller_request.target)
+            )
+        except (RefusedError, ValueError):
+            return False
+        return route.idempotent
+
     async def answer_forwarded(self, request, kind):
         """Return the answer to a request that another instance forwarded.
 
@@ -105,7 +133,10 @@
         return await self._answer_resolved(request, route.limit, may_forward=False)
 
     async def _resolve_and_answer(self, caller_request):
-        start_time = trio.current_time()
+        start_time = min(
+            trio.current_time() - self._node.pause_detector.get_arrival_delay(),
+            caller_request.arrived_at,
+        )
         try:
             request, limit = self._resolve_request(caller_request, start_time)
         except RefusedError as error:
@@ -148,7 +179,7 @@
             return self._refuse_operation(request.operation, reason)
         return self.refuse_unresolved(request.headers, reason)
 
-    def _resolve_request(self, caller_request, now):
+    def _resolve_request(self, caller_request, arrived_at):
         if self._node.table.own.state is InstanceState.JOINING:
             raise RefusedError(RefusalReason.NOT_READY)
         try:
@@ -174,7 +205,7 @@
             service=route.service,
             rank=route.rank,
             idempotent=route.idempotent,
-            deadline=now + deadline - self._node.pause_detector.get_arrival_delay(),
+            deadline=arrived_at + deadline,
             operation=OperationId("") if route.idempotent else operation,
             floor=route.floor,
         )
--- a/kumquatsaddle/entry/routed.py
+++ b/kumquatsaddle/entry/routed.py
@@ -112,14 +112,25 @@
             answer = self._add_refusal_headers(answer, request_id)
         return answer
 
+    def allows_overlap(self, caller_request):
+        """Return whether a request may run beside others of its connection.
+
+        Parameters
+        ----------
+        caller_request : CallerRequest
+        """
+        table = self._get_routes()
+        route = _match_route(table, caller_request) if table is not None else None
+        return route is not None and route.idempotent
+
     async def _route_and_answer(self, caller_request, request_id):
-        arrived = trio.current_time() - self._get_arrival_delay()
+        arrived = min(
+            trio.current_time() - self._get_arrival_delay(), caller_request.arrived_at
+        )
         table = self._get_routes()
         if table is None:
             return self._refuse(request_id, RefusalReason.NOT_READY)
-        host = _get_first_value(caller_request.headers, b"host") or b""
-        path = caller_request.target.partition("?")[0]
-        route = table.match_route(host.decode("latin-1"), path)
+        route = _match_route(table, caller_request)
         if route is None:
             return self._refuse(request_id, RefusalReason.UNKNOWN_ROUTE, table.version)
         timeout = self._read_timeout(caller_request.headers)
@@ -180,6 +191,13 @@
     )
 
 
+def _match_route(table, caller_request):
+    """Return the route of a request, or None if there is none."""
+    host = _get_first_value(caller_request.headers, b"host") or b""
+    path = caller_request.target.partition("?")[0]
+    return table.match_route(host.decode("latin-1"), path)
+
+
 def _get_first_value(headers, wanted_name):
     for name, value in headers:
         if name == wanted_name:
--- a/kumquatsaddle/entry/streams.py
+++ b/kumquatsaddle/entry/streams.py
@@ -4,6 +4,8 @@
 while a request runs, and buffers the bytes of pipelined requests.
 """
 
+from collections import deque
+
 import trio
 
 __all__ = ["CallerStream"]
@@ -11,6 +13,8 @@
 _MAX_RECEIVE_BYTES = 65536
 # Buffer size at which the reader stops reading, which makes the caller wait.
 _READ_AHEAD_BYTES = 65536
+# Bytes received within this time of each other share one time of arrival.
+_ARRIVAL_RESOLUTION_SECONDS = 0.01
 
 
 class CallerStream:
@@ -28,15 +32,19 @@
         Bytes that were received and not yet taken.
     ended : bool
         Whether the caller has ended the connection or its sending side.
-    scope_to_cancel : trio.CancelScope or None
-        Cancelled when the caller ends the connection.
+    on_end : callable
+        Called without arguments when the caller ends the connection.
     """
 
     def __init__(self, stream, read_ahead_bytes=_READ_AHEAD_BYTES):
         self.stream = stream
         self.buffer = bytearray()
         self.ended = False
-        self.scope_to_cancel = None
+        self.on_end = lambda: None
+        # Pairs of a number of received bytes and the time when the last of them came.
+        self._arrivals = deque()
+        self._received_bytes = 0
+        self._taken_bytes = 0
         self._read_ahead_bytes = read_ahead_bytes
         self._discarding = False
         self._consumer_waiting = False
@@ -46,9 +54,9 @@
     async def run(self):
         """Read until the caller ends the connection.
 
-        Then cancels the scope in `scope_to_cancel`, if there is one. The end of the
-        caller's sending side counts as a disconnect, because TCP does not distinguish
-        a half-closed connection from a closed one.
+        Then calls `on_end`. The end of the caller's sending side counts as a
+        disconnect, because TCP does not distinguish a half-closed connection from a
+        closed one.
         """
         try:
             while True:
@@ -58,6 +66,7 @@
                 if self._discarding:
                     continue
                 self.buffer += data
+                self._record_arrival(len(data))
                 self._consumer_waiting = False
                 self._data_arrived.set()
                 while self._is_full():
@@ -67,8 +76,7 @@
             pass
         self.ended = True
         self._data_arrived.set()
-        if self.scope_to_cancel is not None:
-            self.scope_to_cancel.cancel()
+        self.on_end()
 
     async def wait_for_data(self):
         """Wait until more bytes arrive or the caller ends the connection."""
@@ -83,9 +91,29 @@
         """Remove and return at most `count` bytes from the buffer."""
         taken = bytes(self.buffer) if count is None else bytes(self.buffer[:count])
         del self.buffer[: len(taken)]
+        self._taken_bytes += len(taken)
         self._space_available.set()
         return taken
 
+    def skip_empty_lines(self):
+        """Remove the empty lines at the start of the buffer."""
+        while self.buffer.startswith(b"\r\n"):
+            self.take(2)
+
+    def restore(self, data):
+        """Put the last bytes that were taken back at the start of the buffer."""
+        self._taken_bytes -= len(data)
+        self.buffer[:0] = data
+
+    def find_arrival_time(self):
+        """Return when the last byte taken had arrived, on the clock of trio.
+
+        Bytes that are restored later count as taken.
+        """
+        while self._arrivals[0][0] < self._taken_bytes:
+            self._arrivals.popleft()
+        return self._arrivals[0][1]
+
     def is_idle(self):
         """Return whether the caller is connected and no received byte is unprocessed.
 
@@ -122,6 +150,13 @@
             while not self.ended:
                 await self.wait_for_data()
 
+    def _record_arrival(self, size):
+        now = trio.current_time()
+        self._received_bytes += size
+        if self._arrivals and now - self._arrivals[-1][1] < _ARRIVAL_RESOLUTION_SECONDS:
+            self._arrivals.pop()
+        self._arrivals.append((self._received_bytes, now))
+
     def _is_full(self):
         if self._consumer_waiting or self._discarding:
             return False
--- a/kumquatsaddle/testing/caller_servers.py
+++ b/kumquatsaddle/testing/caller_servers.py
@@ -27,6 +27,10 @@
         self.requests = []
         self.cancelled = 0
 
+    def allows_overlap(self, request):
+        """Return whether a request may run beside others: GET may."""
+        return request.method == "GET"
+
     async def answer(self, request):
         """Return the answer to a request."""
         self.requests.append(request)
