Serve the connections accepted last in a stop, and use the time until the kill

Cause 1: a drain ended as soon as no connection was registered. A connection that had just been accepted is registered only when its task runs, so that a stop could end the process before, and reset the caller that was accepted last.

Change: the drain counts accepted connections whose task has not run yet. [stop] kill_after says when the platform kills the process; notice and grace end before.

--- a/kumquatsaddle/entry/callers.py
+++ b/kumquatsaddle/entry/callers.py
@@ -42,6 +42,8 @@
         self.leaving = False
         self.pending_bytes = 0
         self._connections = set()
+        # Connections that were accepted and whose task has not run yet.
+        self._unstarted = 0
         self._active_refusals = 0
         self._listeners = []
         self._accept_scope = trio.CancelScope()
@@ -92,7 +94,7 @@
         self._accept_scope.cancel()
         with trio.move_on_after(grace):
             await self._backlog_accepted.wait()
-            while self._connections:
+            while self._connections or self._unstarted:
                 for connection in list(self._connections):
                     connection.close_if_idle()
                 await trio.sleep(_DRAIN_POLL_SECONDS)
@@ -133,7 +135,16 @@
                 self.node.metrics.count("accepts_failed")
                 await trio.sleep(_ACCEPT_RETRY_SECONDS)
                 continue
-            nursery.start_soon(self.serve_connection, stream)
+            self._start_connection(nursery, stream)
+
+    def _start_connection(self, nursery, stream):
+        self._unstarted += 1
+        nursery.start_soon(self._serve_accepted, stream)
+
+    async def _serve_accepted(self, stream):
+        # The connection is registered before this task waits for the first time.
+        self._unstarted -= 1
+        await self.serve_connection(stream)
 
     async def _accept_backlog(self, nursery):
         """Accept the connections in the kernel's backlog.
@@ -146,7 +157,7 @@
                     stream = await listener.accept()
                 except (OSError, trio.ClosedResourceError):
                     break
-                nursery.start_soon(self.serve_connection, stream)
+                self._start_connection(nursery, stream)
 
     def _update_connection_gauge(self):
         self.node.metrics.set_gauge("caller_connections", len(self._connections))
--- a/kumquatsaddle/entry/tests/steps/stopping.py
+++ b/kumquatsaddle/entry/tests/steps/stopping.py
@@ -1,3 +1,4 @@
+import socket
 import ssl
 import tempfile
 from pathlib import Path
@@ -14,6 +15,7 @@
 )
 from kumquatsaddle.exceptions import SettingsError
 from kumquatsaddle.lifecycle.node import make_node
+from kumquatsaddle.lifecycle.stopping import read_stop_times
 from kumquatsaddle.settings.files import load_settings
 from kumquatsaddle.settings.parsers import Address
 from kumquatsaddle.testing.caller_servers import (
@@ -116,6 +118,70 @@
     trio.run(check)
 
 
+class ConnectingScope:
+    """Connects a caller at the moment when the server stops accepting.
+
+    Parameters
+    ----------
+    scope : trio.CancelScope
+        Cancelled afterwards.
+    port : int
+    """
+
+    def __init__(self, scope, port):
+        self.scope = scope
+        self.port = port
+        self.caller = socket.socket()
+        self.connected = trio.Event()
+
+    def cancel(self):
+        self.caller.connect(("127.0.0.1", self.port))
+        self.caller.sendall(REQUEST)
+        self.connected.set()
+        self.scope.cancel()
+
+
+@then("a connection accepted last is served before the stop ends")
+def check_accepted_last(context):
+    async def check():
+        server = make_test_server(EchoProxy(delay=0.01))
+        async with trio.open_nursery() as caller_nursery:
+            async with trio.open_nursery() as server_nursery:
+                address = Address("127.0.0.1", 0)
+                (listener,) = await server_nursery.start(server.run, address)
+                port = listener.socket.getsockname()[1]
+                scope = ConnectingScope(server._accept_scope, port)
+                server._accept_scope = scope
+                caller_nursery.start_soon(check_answered, scope)
+                await server.drain(0.0, GRACE_SECONDS)
+                # The process ends after the drain.
+                server_nursery.cancel_scope.cancel()
+
+    async def check_answered(scope):
+        await scope.connected.wait()
+        scope.caller.setblocking(False)
+        caller = trio.SocketStream(trio.socket.from_stdlib_socket(scope.caller))
+        async with caller:
+            check_last_answer(await read_all(caller))
+
+    # Trio runs tasks that wake at the same time in random order; 30 runs cover both
+    # orders of the new connection and the end of the drain.
+    for _ in range(30):
+        trio.run(check)
+
+
+@then("the notice and the grace end before the kill, and use the time until it")
+def check_stop_times(context):
+    for kill_after in (0.5, 1.0, 4.0, 6.0, 10.0, 30.0):
+        settings = make_default_settings(stop__kill_after=kill_after)
+        times = read_stop_times(settings)
+        assert times.notice <= kill_after / 3
+        assert 0.0 <= times.grace
+        assert 0.8 * kill_after - 0.4 <= times.notice + times.grace < kill_after
+    times = read_stop_times(make_default_settings(stop__notice=2.0))
+    assert (times.notice, times.grace) == (2.0, 60.0)
+
+
 @then("idle connections are closed when the notice period ends")
 def check_idle(context):
     async def act(stream):
--- a/kumquatsaddle/entry/tests/stopping.feature
+++ b/kumquatsaddle/entry/tests/stopping.feature
@@ -5,6 +5,12 @@
     Then a request in flight when the stop begins is answered with Connection: close
     And an idle connection may send its request during the notice period
     And a connection in the backlog is served although the listener closes
+    And a connection accepted last is served before the stop ends
+
+  Scenario: The phases of a stop end before the process is killed
+    # Guards against requests in flight that are cut off by the kill although their
+    # time was not over, and against a grace far shorter than the platform allows.
+    Then the notice and the grace end before the kill, and use the time until it
 
   Scenario: Idle connections are closed at the end of the notice period
     # Guards against a stop that waits for callers to close idle connections.
--- a/kumquatsaddle/lifecycle/routed_node.py
+++ b/kumquatsaddle/lifecycle/routed_node.py
@@ -21,6 +21,7 @@
 from kumquatsaddle.lifecycle.application import make_application
 from kumquatsaddle.lifecycle.pauses import make_pause_detector
 from kumquatsaddle.lifecycle.servers import start_server
+from kumquatsaddle.lifecycle.stopping import read_stop_times
 from kumquatsaddle.logs import log_event, set_log_level
 from kumquatsaddle.metrics import make_metrics
 from kumquatsaddle.routes.table import WeightedRoundRobin
@@ -214,9 +215,8 @@
         """Tell the peers that the instance is leaving and drain its connections."""
         self._leaving = True
         self.exchange.report_now()
-        await self.callers.drain(
-            self.settings.get("stop", "notice"), self.settings.get("stop", "grace")
-        )
+        times = read_stop_times(self.settings)
+        await self.callers.drain(times.notice, times.grace)
 
     async def _run_exchange(self, address, task_status=trio.TASK_STATUS_IGNORED):
         await self.exchange.run(task_status)
--- a/kumquatsaddle/settings/fields.py
+++ b/kumquatsaddle/settings/fields.py
@@ -321,6 +321,16 @@
         "stop", "notice", "number", 3.0, 0.0, 60.0, "s", doc="Listening after SIGTERM."
     ),
     Field("stop", "grace", "number", 60.0, 0.1, 600.0, "s", doc="For work in flight."),
+    Field(
+        "stop",
+        "kill_after",
+        "number",
+        0.0,
+        0.0,
+        3600.0,
+        "s",
+        doc="From SIGTERM until the process is killed; shortens the others. 0: none.",
+    ),
     Field(
         "log", "level", "choice", "INFO", choices=_LOG_LEVELS, live=True, doc="Level."
     ),
