Bound the time and the memory that answers without end can take

Cause: a server in trouble may send bytes that are no answer without end. An exchange recognized them only by a complete line or after 64 KB, so that a few bytes a second held a request until its deadline. A body in small chunks was parsed without letting other tasks run. Each answer was bounded (4 MB), all answers together were not: 50 of them exceed the memory of an instance.

Change: an exchange ends at the first byte that cannot belong to an answer. Other tasks run after every 64 parts of a body. [limits] receiving_bytes bounds the bodies of all answers that are being received; an answer beyond it fails as answer_too_large and its connection is reset. A reload on the platform now applies [limits] answer_bytes, too.

The eleven forms of bytes without end in kumquatsaddle/dispatch/tests/endless.feature end within their limits over real sockets.

--- a/kumquatsaddle/balance/dispatcher.py
+++ b/kumquatsaddle/balance/dispatcher.py
@@ -13,7 +13,7 @@
 from kumquatsaddle.balance.averages import RouteAverages
 from kumquatsaddle.balance.budget import RetryLimits
 from kumquatsaddle.balance.pool import BalancedPool
-from kumquatsaddle.dispatch.connections import ExchangeError
+from kumquatsaddle.dispatch.connections import AnswerMemory, ExchangeError
 from kumquatsaddle.dispatch.retries import choose_answer
 from kumquatsaddle.exchange import Answer
 from kumquatsaddle.logs import log_event
@@ -92,6 +92,8 @@
 
     Attributes
     ----------
+    answer_memory : AnswerMemory
+        Shared by all answers that are being received.
     on_load_changed : callable
         Called with a server when its load at this instance changes.
     on_answer : callable
@@ -105,6 +107,7 @@
         self.retry_limits = retry_limits
         self.metrics = metrics
         self.max_answer_bytes = max_answer_bytes
+        self.answer_memory = AnswerMemory()
         self.averages = RouteAverages()
         self.on_load_changed = lambda server: None
         self.on_answer = lambda server, observation: None
@@ -266,6 +269,7 @@
                     request.body,
                     self.max_answer_bytes,
                     check_deadline_before_write,
+                    self.answer_memory,
                 )
         except ExchangeError as error:
             if error.written:
--- a/kumquatsaddle/dispatch/connections.py
+++ b/kumquatsaddle/dispatch/connections.py
@@ -18,10 +18,22 @@
 from kumquatsaddle.exceptions import KumquatsaddleError
 from kumquatsaddle.types import RefusalReason
 
-__all__ = ["BackendConnection", "ExchangeError", "RawAnswer", "open_connection"]
+__all__ = [
+    "AnswerMemory",
+    "BackendConnection",
+    "ExchangeError",
+    "RawAnswer",
+    "open_connection",
+]
 
 _READ_BYTES = 65536
+_DEFAULT_ANSWER_MEMORY_BYTES = 1 << 26
 _MAX_HEAD_BYTES = 65536
+# What every answer starts with (RFC 9112, section 4).
+_ANSWER_START = b"HTTP/1."
+# Parts of a body that are parsed before other tasks may run. One read may hold 10,000
+# chunks of one byte, which h11 takes 100 ms to parse.
+_EVENTS_BEFORE_YIELD = 64
 # Informational answers (1xx) accepted before the final one.
 _MAX_INFORMATIONAL = 16
 # A server may echo this header of a request in its answer (see `exchange`).
@@ -91,6 +103,35 @@
         return None
 
 
+class AnswerMemory:
+    """Bounds the memory of all answers that an instance receives at the same time.
+
+    Parameters
+    ----------
+    max_bytes : int, optional
+
+    Attributes
+    ----------
+    used_bytes : int
+        Bodies of the answers that are being received.
+    """
+
+    def __init__(self, max_bytes=_DEFAULT_ANSWER_MEMORY_BYTES):
+        self.max_bytes = max_bytes
+        self.used_bytes = 0
+
+    def try_reserve(self, size):
+        """Reserve memory; return False if the limit does not allow it."""
+        if self.used_bytes + size > self.max_bytes:
+            return False
+        self.used_bytes += size
+        return True
+
+    def release(self, size):
+        """Return reserved memory."""
+        self.used_bytes -= size
+
+
 class BackendConnection:
     """One connection to a backend server, for one exchange at a time.
 
@@ -115,6 +156,7 @@
         self._answered = False
         self._echoes_request_id = False
         self._has_unsent_bytes = False
+        self._memory = None
         self.keep_alive = None
         self.exchange_count = 0
 
@@ -130,7 +172,9 @@
             return False
         return not self._stream.socket.is_readable()
 
-    async def exchange(self, method, target, headers, body, max_body, before_write):
+    async def exchange(
+        self, method, target, headers, body, max_body, before_write, memory=None
+    ):
         """Send a request and return the whole answer.
 
         Parameters
@@ -143,6 +187,8 @@
         before_write : callable
             Called without arguments just before the first byte is written; may raise
             an error to prevent the write.
+        memory : AnswerMemory, optional
+            Shared with other connections.
 
         Returns
         -------
@@ -163,6 +209,7 @@
         # The parser returns to its idle state only after the whole answer, so an error
         # or a cancellation before that leaves the connection unusable.
         self._answered = False
+        self._memory = memory
         data = self._encode(method, target, headers, body)
         before_write()
         try:
@@ -269,24 +316,40 @@
                 RefusalReason.ANSWER_TRUNCATED,
                 "answer has missing or ambiguous framing",
             )
-        parts, size = [], 0
-        while True:
-            event = await self._next_event()
-            if isinstance(event, h11.EndOfMessage):
-                break
-            if not isinstance(event, h11.Data):
-                raise self._make_error(
-                    RefusalReason.ANSWER_TRUNCATED, "answer is incomplete"
-                )
-            parts.append(bytes(event.data))
-            size += len(event.data)
-            if size > max_body:
-                raise self._make_error(RefusalReason.ANSWER_TOO_LARGE, size)
+        body = await self._receive_body(max_body)
         self.keep_alive = _read_keep_alive(head.headers)
         headers = _select_headers(method, head.headers)
-        return RawAnswer(head.status_code, headers, b"".join(parts))
+        return RawAnswer(head.status_code, headers, body)
+
+    async def _receive_body(self, max_body):
+        # For a body in small chunks, a list of parts would take 40 times its size.
+        body, events, reserved = bytearray(), 0, 0
+        try:
+            while not isinstance(event := await self._next_event(), h11.EndOfMessage):
+                if not isinstance(event, h11.Data):
+                    raise self._make_error(
+                        RefusalReason.ANSWER_TRUNCATED, "answer is incomplete"
+                    )
+                size = len(event.data)
+                if len(body) + size > max_body or not self._try_reserve(size):
+                    raise self._make_error(
+                        RefusalReason.ANSWER_TOO_LARGE, len(body) + size
+                    )
+                reserved += size
+                body += event.data
+                events += 1
+                if events % _EVENTS_BEFORE_YIELD == 0:
+                    await trio.lowlevel.checkpoint()
+        finally:
+            if self._memory is not None:
+                self._memory.release(reserved)
+        return bytes(body)
+
+    def _try_reserve(self, size):
+        return self._memory is None or self._memory.try_reserve(size)
 
     async def _receive_head(self):
+        await self._check_start()
         for _ in range(_MAX_INFORMATIONAL + 1):
             head = await self._next_event()
             if isinstance(head, h11.Response):
@@ -299,14 +362,30 @@
             RefusalReason.ANSWER_LOST, "too many informational answers"
         )
 
+    async def _check_start(self):
+        """Check that the first bytes are those of an answer, before more arrive."""
+        start = self._parser.trailing_data[0][: len(_ANSWER_START)]
+        while _ANSWER_START.startswith(start):
+            if len(start) == len(_ANSWER_START):
+                return
+            data = await self._receive_data()
+            if not data:
+                # The parser reports the end of the connection.
+                return
+            start = (start + data)[: len(_ANSWER_START)]
+        raise self._make_error(RefusalReason.ANSWER_TRUNCATED, "bytes are no answer")
+
     async def _next_event(self):
-        while True:
-            event = self._parser.next_event()
-            if event is not h11.NEED_DATA:
-                return event
-            data = await self._stream.receive_some(_READ_BYTES)
-            self._answered = self._answered or bool(data)
-            self._parser.receive_data(data)
+        while (event := self._parser.next_event()) is h11.NEED_DATA:
+            await self._receive_data()
+        return event
+
+    async def _receive_data(self):
+        """Receive bytes into the parser; return them, or b"" at the end."""
+        data = await self._stream.receive_some(_READ_BYTES)
+        self._answered = self._answered or bool(data)
+        self._parser.receive_data(data)
+        return data
 
     def _is_matching(self, headers, answer):
         """Return whether an answer belongs to the request with these headers."""
--- a/kumquatsaddle/dispatch/dispatcher.py
+++ b/kumquatsaddle/dispatch/dispatcher.py
@@ -11,7 +11,11 @@
 import trio
 
 from kumquatsaddle.admission.queue import Waiter
-from kumquatsaddle.dispatch.connections import REQUEST_ID_HEADER, ExchangeError
+from kumquatsaddle.dispatch.connections import (
+    REQUEST_ID_HEADER,
+    AnswerMemory,
+    ExchangeError,
+)
 from kumquatsaddle.dispatch.pools import make_pool
 from kumquatsaddle.dispatch.retries import (
     choose_answer,
@@ -51,6 +55,7 @@
     def __init__(self, metrics, max_answer_bytes):
         self.metrics = metrics
         self.max_answer_bytes = max_answer_bytes
+        self.answer_memory = AnswerMemory()
         self.pools = {}
         self._budgets = {}
         self._request_ids = count(1)
@@ -207,6 +212,7 @@
                     request.body,
                     self.max_answer_bytes,
                     check_deadline_before_write,
+                    self.answer_memory,
                 )
         except ExchangeError as error:
             return self._handle_exchange_error(pool, server, request, error, is_reused)
--- a/kumquatsaddle/lifecycle/node.py
+++ b/kumquatsaddle/lifecycle/node.py
@@ -28,6 +28,7 @@
     make_control_server_context,
 )
 from kumquatsaddle.exceptions import ConflictError, SettingsError
+from kumquatsaddle.lifecycle.answers import apply_answer_limits
 from kumquatsaddle.lifecycle.application import make_application
 from kumquatsaddle.lifecycle.claim_rate import make_claim_bucket
 from kumquatsaddle.lifecycle.digests import exchange_digests, has_reachable_backend
@@ -83,6 +84,7 @@
         self.dispatcher = make_dispatcher(
             self.metrics, settings.get("limits", "answer_bytes")
         )
+        apply_answer_limits(self.dispatcher, settings)
         self._make_membership()
         self.pause_detector = make_pause_detector()
         self.links = None
@@ -235,7 +237,7 @@
         if self.links is not None:
             self.links.use_tls_context(client_context)
         self.metrics.set_limits(self.settings)
-        self.dispatcher.max_answer_bytes = self.settings.get("limits", "answer_bytes")
+        apply_answer_limits(self.dispatcher, self.settings)
         if ("log", "level") in changed:
             set_log_level(changed["log", "level"])
         for (section, key), value in changed.items():
--- a/kumquatsaddle/lifecycle/routed_node.py
+++ b/kumquatsaddle/lifecycle/routed_node.py
@@ -18,6 +18,7 @@
 from kumquatsaddle.entry.callers import make_caller_server
 from kumquatsaddle.entry.routed import CallerProtocol, make_routed_proxy
 from kumquatsaddle.exceptions import PlatformUnavailableError, SettingsError
+from kumquatsaddle.lifecycle.answers import apply_answer_limits
 from kumquatsaddle.lifecycle.application import make_application
 from kumquatsaddle.lifecycle.pauses import make_pause_detector
 from kumquatsaddle.lifecycle.servers import start_server
@@ -120,6 +121,7 @@
             settings.get("repeats", "window"),
         )
         self.dispatcher.retry_limits.instances = _INITIAL_INSTANCE_COUNT
+        apply_answer_limits(self.dispatcher, settings)
         self.follower = make_follower(
             parts.store, self.peers, self._update_servers, self._update_routes
         )
@@ -203,6 +205,7 @@
         retry_limits.share = self.settings.get("repeats", "share")
         retry_limits.allowance = self.settings.get("repeats", "allowance")
         retry_limits.window = self.settings.get("repeats", "window")
+        apply_answer_limits(self.dispatcher, self.settings)
         if ("log", "level") in changed:
             set_log_level(changed["log", "level"])
         for (section, key), value in changed.items():
--- a/kumquatsaddle/settings/fields.py
+++ b/kumquatsaddle/settings/fields.py
@@ -218,6 +218,17 @@
         live=True,
         doc="Of a response body.",
     ),
+    Field(
+        "limits",
+        "receiving_bytes",
+        "integer",
+        1 << 26,
+        1 << 16,
+        1 << 36,
+        "B",
+        live=True,
+        doc="Of all response bodies that are being received from backend servers.",
+    ),
     Field(
         "limits",
         "head_timeout",
