Drop servers that left while an instance was cut off or a peer restarted

Cause: an instance that was cut off from the store learns what it missed from its peers. A peer that started after a server had left never knew it and sent no removal, so that the instance used the server for good. A removal that a peer had read from the store counted as a possible lapse while the instance's own calls failed, so that an instance that the store refuses kept servers that had left. An instance that started later has read newer heartbeats of the same servers; the others fetched its list at each of its reports, because the fetch of unchanged entries did not advance the version that they compare.

Change: a peer whose history starts after the asked version sends its whole list as of a version, and the receiver removes what is missing (within the grace period if the store was just away). Explicit removals by a peer are final. What a peer knows counts as known after a fetch of it.

--- a/kumquatsaddle/discovery/follower.py
+++ b/kumquatsaddle/discovery/follower.py
@@ -130,17 +130,19 @@
         """Return the `Update` that answers a `Fetch` of a peer."""
         row = self.routes_row
         newer = row is not None and row.version > fetch.routes_after
+        changes, complete_version = self.servers.list_changes(fetch.servers_after)
         return Update(
             routes_version=row.version if row is not None else 0,
             routes=row.text if newer else b"",
             servers_version=self.servers.content_version,
             rows=tuple(
                 EncodedRow(row.key, row.version, row.removed, row.text)
-                for row in self.servers.list_changes(fetch.servers_after)
+                for row in changes
             ),
             instances=tuple(self._peers.instances.values())
             if fetch.wants_instances
             else (),
+            complete_version=complete_version,
         )
 
     async def run(self):
@@ -329,7 +331,9 @@
         if update.routes:
             self._apply_route_row(RouteRow(update.routes_version, update.routes))
         rows = [self._parse_row(row) for row in update.rows]
-        if self.servers.apply_changes(rows, update.servers_version, now):
+        if self.servers.apply_peer_changes(
+            rows, update.servers_version, update.complete_version, now
+        ):
             await self._publish_servers()
 
     def _parse_row(self, row):
--- a/kumquatsaddle/discovery/servers.py
+++ b/kumquatsaddle/discovery/servers.py
@@ -51,12 +51,17 @@
     version : int
         Newest version of the store up to which all changes are known.
     content_version : int
-        Version of the newest row that changed the list.
+        Version of the newest row that changed the list, here or at a peer whose changes
+        were applied.
+    history_start : int
+        Version after which all changes are known, so that a peer that knows the list as
+        of then needs only the rows that changed since.
     """
 
     def __init__(self):
         self.version = 0
         self.content_version = 0
+        self.history_start = 0
         self._rows = {}
         self._lapse_deadlines = {}
         self._outage_until = float("-inf")
@@ -83,18 +88,47 @@
         now : float
             In seconds.
         """
-        changed, is_first = False, not self._rows
-        for row in rows:
-            changed |= self._apply_row(row, now, is_logged=not is_first)
-        self.version = max(self.version, version)
-        if is_first:
-            self._log_first_list()
-        self._prune_removed()
+        return self._apply_rows(rows, version, now)
+
+    def apply_peer_changes(self, rows, version, complete_version, now):
+        """Apply what a peer answered to a fetch; return whether the list changed.
+
+        Parameters
+        ----------
+        rows : iterable of ListedRow
+        version : int
+            Of the newest change that the peer knows.
+        complete_version : int
+            Version as of which the rows are the whole list; 0 if they are only those
+            that changed.
+        now : float
+            In seconds.
+
+        Notes
+        -----
+        A removal is final: the peer has kept an entry that may have lapsed for its
+        grace period. An entry that is only missing may have lapsed before the peer
+        started.
+        """
+        if complete_version:
+            changed = self.apply_snapshot(rows, complete_version, now, from_peer=True)
+        else:
+            changed = self._apply_rows(rows, version, now, from_peer=True)
+        self.content_version = max(self.content_version, version)
         return changed
 
-    def apply_snapshot(self, rows, version, now):
+    def apply_snapshot(self, rows, version, now, from_peer=False):
         """Replace the list by the complete one as of a version.
 
+        Parameters
+        ----------
+        rows : iterable of ListedRow
+        version : int
+        now : float
+            In seconds.
+        from_peer : bool, default=False
+            Whether a peer sent the list.
+
         Returns
         -------
         bool
@@ -102,13 +136,16 @@
         """
         if version < self.version:
             return False
+        if not self._rows:
+            self.history_start = version
         rows = {row.key: row for row in rows}
         missing = [
             ListedRow(key, version, None, removed=True)
             for key, row in self._rows.items()
             if key not in rows and not row.removed
         ]
-        return self.apply_changes([*rows.values(), *missing], version, now)
+        changed = self._apply_rows(rows.values(), version, now, from_peer)
+        return self._apply_rows(missing, version, now) or changed
 
     def expire_lapsed(self, now):
         """Drop entries whose grace period is over; return whether there were any."""
@@ -130,22 +167,43 @@
         return [row.key for row in self._rows.values() if not row.removed]
 
     def list_changes(self, after):
-        """Return the rows that changed after a version."""
-        return [row for row in self._rows.values() if row.version > after]
+        """Return the rows for a peer that knows the list as of a version.
+
+        Returns
+        -------
+        rows : list of ListedRow
+        complete_version : int
+            Version as of which they are the whole list; 0 if they are only those that
+            changed after `after`.
+        """
+        if after < self.history_start:
+            return list(self._rows.values()), self.version
+        return [row for row in self._rows.values() if row.version > after], 0
 
-    def _apply_row(self, row, now, is_logged):
+    def _apply_rows(self, rows, version, now, from_peer=False):
+        changed, is_first = False, not self._rows
+        for row in rows:
+            changed |= self._apply_row(row, now, not is_first, from_peer)
+        self.version = max(self.version, version)
+        if is_first and self._rows:
+            self._log_first_list()
+        self._prune_removed()
+        return changed
+
+    def _apply_row(self, row, now, is_logged, is_final):
         known = self._rows.get(row.key)
-        if known is not None and row.version <= known.version:
+        if known is not None and not self._is_newer(row, known, is_final):
             return False
         if row.removed and known is not None and known.record is not None:
-            if now < self._outage_until and not known.record.draining:
+            in_outage = now < self._outage_until and not is_final
+            if in_outage and not known.record.draining:
                 # Keep the old record for a grace period; see `expire_lapsed`.
                 kept = ListedRow(row.key, row.version, known.record, text=known.text)
                 self._rows[row.key] = kept
                 self._lapse_deadlines.setdefault(row.key, now + _LAPSE_GRACE_SECONDS)
                 log_event("backend_missing", backend=row.key, version=row.version)
                 return False
-        if not row.removed:
+        if is_final or not row.removed:
             self._lapse_deadlines.pop(row.key, None)
         self._rows[row.key] = row
         before = known.record if known is not None else None
@@ -156,6 +214,13 @@
             self._log_row(row, before)
         return True
 
+    def _is_newer(self, row, known, is_final):
+        """Return whether a row replaces the known one with the same key."""
+        if is_final and row.removed and row.key in self._lapse_deadlines:
+            # The peer's grace period for the same removal is over.
+            return row.version >= known.version
+        return row.version > known.version
+
     def _log_first_list(self):
         """Log the first list grouped by service and state, not per server."""
         groups = {}
@@ -186,6 +251,7 @@
     def _prune_removed(self):
         removed = [row for row in self._rows.values() if row.removed]
         for row in sorted(removed, key=lambda row: row.version)[:-_MAX_REMOVED_ROWS]:
+            self.history_start = max(self.history_start, row.version)
             del self._rows[row.key]
 
 
--- a/kumquatsaddle/discovery/tests/follower.feature
+++ b/kumquatsaddle/discovery/tests/follower.feature
@@ -58,3 +58,19 @@
     # takes 23 ms at each instance that fetches one.
     Given a follower without peers
     Then its update lists the instances only if the fetch asks for them
+
+  Scenario: A server that left while an instance was cut off does not stay in its list
+    # Guards against a server that is used for good after it has left: the instance
+    # missed its removal, and the peers that started since never knew the server.
+    Then a list from a peer that started later removes the server that left
+    And a server that may only have lapsed is kept while the store does not answer
+
+  Scenario: A removal that a peer has read from the store is final
+    # Guards against a server that has left and gets requests from an instance that the
+    # store refuses, for as long as it does.
+    Then a server that a peer reports as removed is dropped although the store is away
+
+  Scenario: What a peer knows is fetched once
+    # Guards against an instance that fetches the whole list at each report of a peer
+    # that started later and has therefore read newer heartbeats of the same servers.
+    Then a fetch of unchanged servers leaves nothing newer to fetch
--- a/kumquatsaddle/discovery/tests/steps/follower.py
+++ b/kumquatsaddle/discovery/tests/steps/follower.py
@@ -13,7 +13,14 @@
 from kumquatsaddle.exceptions import ConfigurationError, HistoryLostError
 from kumquatsaddle.routes import make_route_table
 from kumquatsaddle.settings.parsers import Address
-from kumquatsaddle.sharing.messages import EncodedRow, Fetch, Report, Update
+from kumquatsaddle.sharing.messages import (
+    EncodedRow,
+    Fetch,
+    Report,
+    Update,
+    decode_update,
+    encode_update,
+)
 from kumquatsaddle.sharing.peers import PeerTable
 
 RECORD = ServerRecord("a", 1, "s", Address("127.0.0.1", 1), "z", 6, False)
@@ -308,3 +315,94 @@
     assert follower.make_update(Fetch("b", 0, 0)).instances == ()
     listed = follower.make_update(Fetch("b", 0, 0, wants_instances=True)).instances
     assert [record.name for record in listed] == ["m"]
+
+
+def make_listed_row(name, version, removed=False):
+    record = None if removed else replace(RECORD, name=name)
+    return ListedRow(name, version, record, removed)
+
+
+async def read_list(follower, version, rows):
+    """Let a follower read the whole list from the store."""
+    await follower._apply_server_snapshot(Snapshot(rows, version))
+
+
+async def fetch_from(follower, peer):
+    """Let a follower fetch what is newer at another one."""
+    fetch = Fetch("m", 0, follower.servers.content_version)
+    update = decode_update(encode_update(peer.make_update(fetch)))
+    await follower._apply_update(update)
+
+
+def list_names(follower):
+    return sorted(record.name for record in follower.servers.list_records())
+
+
+def run_with_followers(act):
+    """Run `act` with a follower, an older peer and one that started later."""
+
+    async def run():
+        followers = [make_idle_follower()[0] for _ in range(3)]
+        for follower in followers:
+            follower._store.parse_server = lambda key, text: replace(RECORD, name=key)
+        follower, older, newer = followers
+        rows = [make_listed_row("a", 1), make_listed_row("b", 2)]
+        for known in (follower, older):
+            await read_list(known, 10, rows)
+        await read_list(newer, 100, [make_listed_row("a", 90)])
+        await act(follower, older, newer)
+
+    trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+@then("a list from a peer that started later removes the server that left")
+def check_missed_removal(context):
+    async def act(follower, older, newer):
+        await fetch_from(follower, newer)
+        assert list_names(follower) == ["a"]
+        # The whole list does not undo what is newer here.
+        await older._apply_server_changes(Snapshot([make_listed_row("c", 200)], 200))
+        await fetch_from(follower, older)
+        await fetch_from(older, newer)
+        assert list_names(follower) == ["a", "c"]
+
+    run_with_followers(act)
+
+
+@then("a server that may only have lapsed is kept while the store does not answer")
+def check_lapse(context):
+    async def act(follower, older, newer):
+        follower.servers.record_call_failure(trio.current_time())
+        await fetch_from(follower, newer)
+        assert list_names(follower) == ["a", "b"]
+        follower.servers.record_call_success(trio.current_time())
+        await trio.sleep(3)
+        follower.servers.expire_lapsed(trio.current_time())
+        assert list_names(follower) == ["a"]
+
+    run_with_followers(act)
+
+
+@then("a server that a peer reports as removed is dropped although the store is away")
+def check_removal_by_peer(context):
+    async def act(follower, older, newer):
+        removal = make_listed_row("b", 50, removed=True)
+        await older._apply_server_changes(Snapshot([removal], 50))
+        follower.servers.record_call_failure(trio.current_time())
+        await fetch_from(follower, older)
+        assert list_names(follower) == ["a"]
+
+    run_with_followers(act)
+
+
+@then("a fetch of unchanged servers leaves nothing newer to fetch")
+def check_fetched_once(context):
+    async def act(follower, older, newer):
+        heartbeats = [make_listed_row("a", 90), make_listed_row("b", 91)]
+        started = make_idle_follower()[0]
+        await read_list(started, 95, heartbeats)
+        assert started.servers.content_version > follower.servers.content_version
+        await fetch_from(follower, started)
+        assert started.servers.content_version <= follower.servers.content_version
+
+    run_with_followers(act)
--- a/kumquatsaddle/sharing/messages.py
+++ b/kumquatsaddle/sharing/messages.py
@@ -115,13 +115,29 @@
 
 @dataclass(frozen=True, slots=True)
 class Update:
-    """The answer to a `Fetch`."""
+    """The answer to a `Fetch`.
+
+    Parameters
+    ----------
+    routes_version : int
+    routes : bytes
+        Empty if they are not newer.
+    servers_version : int
+        Version of the newest change that the sender knows.
+    rows : tuple of EncodedRow
+    instances : tuple of InstanceRecord
+        Empty if not wanted.
+    complete_version : int, default=0
+        Version as of which the rows are the whole list; 0 if they are only those that
+        changed.
+    """
 
     routes_version: int
     routes: bytes
     servers_version: int
     rows: tuple[EncodedRow, ...]
     instances: tuple[InstanceRecord, ...]
+    complete_version: int = 0
 
 
 def encode_report(report):
@@ -185,6 +201,7 @@
     message = _schema.Update.new_message()
     message.routesVersion, message.routes = update.routes_version, update.routes
     message.serversVersion = update.servers_version
+    message.completeVersion = update.complete_version
     rows = message.init("rows", len(update.rows))
     for target, row in zip(rows, update.rows, strict=True):
         target.key, target.version = row.key, row.version
@@ -258,6 +275,7 @@
             for row in message.rows
         ),
         instances=tuple(_convert_instance(item) for item in message.instances),
+        complete_version=message.completeVersion,
     )
 
 
--- a/kumquatsaddle/sharing/reports.capnp
+++ b/kumquatsaddle/sharing/reports.capnp
@@ -46,6 +46,7 @@
   serversVersion @2 :UInt64;
   rows @3 :List(Row);
   instances @4 :List(Instance); # empty if not wanted
+  completeVersion @5 :UInt64; # version as of which the rows are the whole list, or 0
 }
 
 struct Row {
