Let repeatable requests try recovering servers before the others

Cause: a server that failed is tried again after about 5 s, when too few servers of the zone are in use. If it still fails, a request that is not idempotent is lost; an idempotent one is retried elsewhere at once. Which one tried was a matter of chance, so in proportion to the traffic: mostly orders.

Change: where a service gets repeatable requests, only these try unused servers during the first second in which the service has to; the others join after it. The exploration limit is passed as a failure probability in place of a flag.

--- a/kumquatsaddle/balance/choice.py
+++ b/kumquatsaddle/balance/choice.py
@@ -8,7 +8,14 @@
 
 from kumquatsaddle.types import Rank
 
-__all__ = ["CHOICE_WEIGHTS", "choose_server", "compute_cost", "is_explorable"]
+__all__ = [
+    "CHOICE_WEIGHTS",
+    "MAX_EXPLORABLE_FAILURE",
+    "NO_EXPLORATION",
+    "choose_server",
+    "compute_cost",
+    "is_explorable",
+]
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,6 +67,11 @@
 
 
 CHOICE_WEIGHTS = ChoiceWeights()
+# Failure probability up to which an unused server is explored. It falls below this
+# about 5 s after a fast failure.
+MAX_EXPLORABLE_FAILURE = 0.4
+# Failure probability that no server falls below, so that none is explored.
+NO_EXPLORATION = 0.0
 # Costs are rounded to this step: requests spread over all servers of about the same
 # cost, so that the evidence on each stays recent.
 _COST_RESOLUTION = 0.03
@@ -67,9 +79,6 @@
 _UNUSED_GRACE_SECONDS = 1.0
 # Longest time after the grace period that adds to the exploration term.
 _MAX_UNUSED_SECONDS = 1.2
-# Failure probability up to which an unused server is explored. It falls below this
-# about 5 s after a fast failure.
-_MAX_EXPLORABLE_FAILURE = 0.4
 # Requests sent to a server beyond its slots, by rank; they wait at the server.
 _EXTRA_REQUESTS_BY_RANK = {Rank.URGENT: 2, Rank.STANDARD: 0, Rank.BULK: 0}
 
@@ -80,7 +89,7 @@
     now,
     zone,
     weights=CHOICE_WEIGHTS,
-    explores=False,
+    max_explored_failure=NO_EXPLORATION,
     unattended=frozenset(),
 ):
     """Return the cost of sending a request to a server.
@@ -94,8 +103,9 @@
     zone : ZoneId
         Of this instance.
     weights : ChoiceWeights, optional
-    explores : bool, default=False
-        Whether servers of this zone that are not in use have to be tried.
+    max_explored_failure : float, optional
+        Failure probability up to which servers of this zone that are not in use have to
+        be tried; default: none are.
     unattended : frozenset of ZoneId
         Zones without an instance, whose servers only other zones can explore.
     """
@@ -109,9 +119,12 @@
     cost += weights.slow * max(0.0, server.estimate_slowdown(now) - 1.5)
     if record.zone != zone:
         cost += weights.other_zone + weights.other_zone_kilobyte * request.kilobytes
-        explores = record.zone in unattended
-    if explores and is_explorable(server, now):
-        unused = max(0.0, now - server.used_at - _UNUSED_GRACE_SECONDS)
+        is_unattended = record.zone in unattended
+        max_explored_failure = (
+            MAX_EXPLORABLE_FAILURE if is_unattended else NO_EXPLORATION
+        )
+    unused = now - server.used_at - _UNUSED_GRACE_SECONDS
+    if unused > 0 and is_explorable(server, now, max_explored_failure):
         cost += weights.exploration * min(unused, _MAX_UNUSED_SECONDS)
     if now < server.cold_until:
         cost += weights.cold
@@ -120,9 +133,18 @@
     return cost
 
 
-def is_explorable(server, now):
-    """Return whether a server is healthy enough for a request that explores it."""
-    return server.belief.compute_failure_probability(now) <= _MAX_EXPLORABLE_FAILURE
+def is_explorable(server, now, max_failure):
+    """Return whether a server is healthy enough for a request that explores it.
+
+    Parameters
+    ----------
+    server : BalancedServer
+    now : float
+        On the clock of trio, in seconds.
+    max_failure : float
+        Highest failure probability of such a server.
+    """
+    return server.belief.compute_failure_probability(now) <= max_failure
 
 
 def choose_server(
@@ -132,7 +154,7 @@
     zone,
     excluded=(),
     weights=CHOICE_WEIGHTS,
-    explores=False,
+    max_explored_failure=NO_EXPLORATION,
     unattended=frozenset(),
 ):
     """Return the cheapest server for a request, or None if it has to wait.
@@ -149,8 +171,9 @@
     excluded : collection of BackendId
         Servers to which the request was sent already.
     weights : ChoiceWeights, optional
-    explores : bool, default=False
-        Whether servers of this zone that are not in use have to be tried.
+    max_explored_failure : float, optional
+        Failure probability up to which servers of this zone that are not in use have to
+        be tried; default: none are.
     unattended : frozenset of ZoneId
         Zones without an instance.
     """
@@ -181,7 +204,9 @@
             and round(min_cross_zone_cost / _COST_RESOLUTION) > best_key[0]
         ):
             continue
-        cost = compute_cost(server, request, now, zone, weights, explores, unattended)
+        cost = compute_cost(
+            server, request, now, zone, weights, max_explored_failure, unattended
+        )
         if cost > limit:
             continue
         key = (round(cost / _COST_RESOLUTION), server.used_at)
@@ -190,7 +215,7 @@
     if best is not None and best.record.zone != zone:
         for server in full_local:
             cost = compute_cost(
-                server, request, now, zone, weights, explores, unattended
+                server, request, now, zone, weights, max_explored_failure, unattended
             )
             if cost + weights.local_wait * elapsed_share < best_cost:
                 return None
--- a/kumquatsaddle/balance/pool.py
+++ b/kumquatsaddle/balance/pool.py
@@ -3,7 +3,12 @@
 import trio
 
 from kumquatsaddle.balance.budget import SlidingRetryBudget
-from kumquatsaddle.balance.choice import choose_server, is_explorable
+from kumquatsaddle.balance.choice import (
+    MAX_EXPLORABLE_FAILURE,
+    NO_EXPLORATION,
+    choose_server,
+    is_explorable,
+)
 from kumquatsaddle.balance.servers import BalancedServer
 
 __all__ = ["BalancedPool"]
@@ -15,6 +20,8 @@
 _MIN_USED_SHARE = 0.75
 # Time after a request for which its server counts as in use.
 _USED_WINDOW_SECONDS = 1.7
+# How long only repeatable requests try unused servers, if there are such requests.
+_REPEATABLE_FIRST_SECONDS = 1.0
 # Shortest time between counts of the servers in use while no request is sent.
 _USE_COUNT_INTERVAL_SECONDS = 0.1
 
@@ -64,6 +71,8 @@
         self._local_first = ()
         self._explores = False
         self._use_counted_at = float("-inf")
+        self._explores_since = float("-inf")
+        self._repeatable_at = float("-inf")
 
     def update(self, records):
         """Replace the list of servers; return those that are no longer in it.
@@ -162,16 +171,39 @@
         """
         if now - self._use_counted_at >= _USE_COUNT_INTERVAL_SECONDS:
             self._use_counted_at = now
+            explored_before = self._explores
             self._explores = self._has_too_few_in_use(now)
+            if self._explores and not explored_before:
+                self._explores_since = now
         return self._explores
 
+    def _compute_max_explored_failure(self, request, now):
+        """Return the failure probability up to which a request tries unused servers.
+
+        A server that is tried may still be faulty, which costs a repeatable request
+        only a retry. Where there are such requests, the others leave it to them for a
+        while.
+        """
+        is_repeatable = request.idempotent and request.attempts_left > 0
+        if is_repeatable:
+            self._repeatable_at = now
+        if not self._needs_exploration(now):
+            return NO_EXPLORATION
+        others_wait = (
+            now - self._repeatable_at < _REPEATABLE_FIRST_SECONDS
+            and now - self._explores_since < _REPEATABLE_FIRST_SECONDS
+        )
+        if others_wait and not is_repeatable:
+            return NO_EXPLORATION
+        return MAX_EXPLORABLE_FAILURE
+
     def _has_too_few_in_use(self, now):
         usable = [
             server
             for server in self.servers.values()
             if server.record.zone == self._zone
             and server.is_available(now)
-            and is_explorable(server, now)
+            and is_explorable(server, now, MAX_EXPLORABLE_FAILURE)
         ]
         used = sum(now - server.used_at < _USED_WINDOW_SECONDS for server in usable)
         return used < _MIN_USED_SHARE * len(usable)
@@ -211,7 +243,7 @@
             now,
             self._zone,
             excluded,
-            explores=self._needs_exploration(now),
+            max_explored_failure=self._compute_max_explored_failure(request, now),
             unattended=self.unattended,
         )
         if server is None:
--- a/kumquatsaddle/balance/tests/evidence.feature
+++ b/kumquatsaddle/balance/tests/evidence.feature
@@ -43,6 +43,14 @@
     When 40 requests a second are served for 8 seconds
     Then in the last 2 seconds at least 6 servers got requests
 
+  Scenario: Requests that may be repeated try recovering servers for the others
+    # Guards against orders that are lost because they are the first to try a server that
+    # failed before, although lookups that can be retried go to the same service.
+    Given a pool of 8 servers of which 4 failed fast and still fail
+    When 30 orders and 10 lookups a second are sent for 30 seconds
+    Then lookups try the failing servers and at most 2 orders are lost to them
+    And after the servers recover the floor of 6 is in use within 6 seconds
+
   Scenario: Servers of a zone that lost its instances stay in use
     # Guards against healthy servers that get no request because only the instances of
     # their zone sent to them (seen with deploy/days/dark_zone.toml --vary --seed
--- a/kumquatsaddle/balance/tests/steps/evidence.py
+++ b/kumquatsaddle/balance/tests/steps/evidence.py
@@ -9,7 +9,13 @@
 from kumquatsaddle.balance.averages import RouteAverages
 from kumquatsaddle.balance.beliefs import Belief, Observation
 from kumquatsaddle.balance.budget import RetryLimits
-from kumquatsaddle.balance.choice import _COST_RESOLUTION, choose_server, compute_cost
+from kumquatsaddle.balance.choice import (
+    _COST_RESOLUTION,
+    MAX_EXPLORABLE_FAILURE,
+    NO_EXPLORATION,
+    choose_server,
+    compute_cost,
+)
 from kumquatsaddle.balance.pool import BalancedPool
 from kumquatsaddle.balance.requests import RoutedRequest
 from kumquatsaddle.balance.servers import BalancedServer
@@ -251,6 +257,61 @@
     assert len(used) >= least, used
 
 
+@given("a pool of {count:d} servers of which {failing:d} failed fast and still fail")
+def prepare_failing(context, count, failing):
+    context.server_count, context.failed_count = count, failing
+
+
+@when("{orders:d} orders and {lookups:d} lookups a second are sent for 30 seconds")
+def send_orders_and_lookups(context, orders, lookups):
+    context.lost, context.uses = {True: 0, False: 0}, []
+    failing = {f"s{number}" for number in range(context.failed_count)}
+
+    async def serve(pool, idempotent, fails):
+        started = trio.current_time()
+        request = make_request(idempotent, now=started)
+        server = await pool.acquire_server(request, frozenset(), request.deadline)
+        context.uses.append((started, server.name))
+        failed = fails and server.name in failing
+        await trio.sleep(0.005 if failed else 0.1)
+        context.lost[idempotent] += failed
+        server.observe_answer(trio.current_time(), started, EXPECTED, failed)
+        pool.release(server, request)
+
+    async def send(nursery, pool, idempotent, rate):
+        for number in range(36 * rate):
+            fails = number < 30 * rate
+            nursery.start_soon(serve, pool, idempotent, fails)
+            await trio.sleep(1 / rate)
+
+    async def run():
+        pool = BalancedPool(
+            "here", DEFAULT_PROTOCOL, RetryLimits(0.1, 1, 10), RouteAverages()
+        )
+        names = [f"s{number}" for number in range(context.server_count)]
+        pool.update({name: make_server(name).record for name in names})
+        for name in failing:
+            pool.servers[name].observe(trio.current_time(), Observation.FAILED_FAST)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(send, nursery, pool, False, orders)
+            nursery.start_soon(send, nursery, pool, True, lookups)
+
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    trio.run(run, clock=clock)
+
+
+@then("lookups try the failing servers and at most {most:d} orders are lost to them")
+def check_lost_orders(context, most):
+    assert context.lost[True] > 0
+    assert context.lost[False] <= most, context.lost
+
+
+@then("after the servers recover the floor of 6 is in use within 6 seconds")
+def check_floor_used(context):
+    used = {name for time, name in context.uses if time > 30.0}
+    assert len(used) >= 6, used
+
+
 def make_full(name):
     server = make_healthy(make_server(name))
     for number in range(6):
@@ -362,7 +423,8 @@
             server.used_at = used + number / 1000
             servers.append(server)
         request, now = make_request(now=2.0), 2.5
-        options = {"explores": explores, "unattended": unattended}
+        max_failure = MAX_EXPLORABLE_FAILURE if explores else NO_EXPLORATION
+        options = {"max_explored_failure": max_failure, "unattended": unattended}
         chosen = choose_server(servers, request, now, "here", **options)
 
         def compute_key(server):
