Show that a late second copy of an answer reaches no other caller

Cause: operators of similar systems saw a server send an answer twice, the copy late, on a connection that was in use again.

Change: the scripted servers can repeat an answer when the next request on its connection has arrived. A property over scripts of all kinds of answers checks that each success is the answer to its own request, with and without retries.

--- a/kumquatsaddle/balance/tests/dispatcher.feature
+++ b/kumquatsaddle/balance/tests/dispatcher.feature
@@ -6,6 +6,12 @@
     Then for any script of answers no non-idempotent request runs twice
     And no request that was refused as not run has reached a server that ran it
 
+  Scenario: A caller gets the answer to its own request
+    # Guards against a late second copy of an answer that is taken for the answer to the
+    # next request on the connection.
+    Then for any script of answers each success is the answer to its own request
+    And a second copy of an answer on a reused connection is skipped
+
   Scenario: What may repeat is sent again within its attempts and its budget
     # Guards against retries beyond the attempts of the route or the retry budget.
     Then for any script of answers an idempotent request runs on two servers at most
--- a/kumquatsaddle/balance/tests/steps/dispatcher.py
+++ b/kumquatsaddle/balance/tests/steps/dispatcher.py
@@ -22,7 +22,17 @@
     skips_unmatched_answers=True,
 )
 # Actions after which a server may have run the request.
-RUN_ACTIONS = ("whole", "chunked", "head", "failed", "cut", "close", "surplus", "stray")
+RUN_ACTIONS = (
+    "whole",
+    "chunked",
+    "head",
+    "failed",
+    "cut",
+    "close",
+    "surplus",
+    "stray",
+    "repeated",
+)
 SCRIPTS = st.lists(
     st.tuples(st.sampled_from([*RUN_ACTIONS, "refuse", "early"]), st.integers(0, 200)),
     max_size=6,
@@ -100,6 +110,38 @@
     run()
 
 
+@then("for any script of answers each success is the answer to its own request")
+def check_own_answers(context):
+    def check(answers, runs, servers):
+        for number, answer in enumerate(answers):
+            if answer.outcome is Outcome.DONE and answer.status == 200:
+                assert answer.body == b"/%d" % number, (number, answer.body)
+
+    for idempotent in (False, True):
+        check_scripts(idempotent, check)
+
+
+@then("a second copy of an answer on a reused connection is skipped")
+def check_second_copy(context):
+    async def run():
+        async with trio.open_nursery() as nursery:
+            servers, dispatcher = await open_servers(nursery, 1)
+            servers.default = ("repeated", 0)
+            answers = [
+                await dispatcher.dispatch(make_request(number, False))
+                for number in range(5)
+            ]
+            (server,) = dispatcher.list_servers()
+            connection, _ = server._idle[0]
+            nursery.cancel_scope.cancel()
+        return answers, connection.exchange_count
+
+    answers, exchange_count = trio.run(run)
+    assert [answer.body for answer in answers] == [b"/%d" % n for n in range(5)]
+    # All five used one connection, on which four copies arrived.
+    assert exchange_count == 5
+
+
 @then("for any script of answers no non-idempotent request runs twice")
 def check_once(context):
     def check(answers, runs, servers):
--- a/kumquatsaddle/testing/backends.py
+++ b/kumquatsaddle/testing/backends.py
@@ -32,6 +32,8 @@
     - ``early``: closes the connection before it reads the request;
     - ``surplus``: a complete answer and further bytes;
     - ``stray``: a complete answer and a second one that was not requested;
+    - ``repeated``: a complete answer, and a second copy of it when the next request on
+      the connection has arrived, before the answer to that one;
     - ``endless``: an answer without a length, delimited by the end of the connection;
     - ``large``: an answer with a body longer than `MAX_ANSWER_BYTES`;
     - ``late``: a complete answer once `release_answer` is set.
@@ -57,6 +59,7 @@
         self.default = ("whole", 0)
         self.reached = []
         self.refused = []
+        self._late_copies = {}
         self.answer_delayed = trio.Event()
         self.release_answer = trio.Event()
 
@@ -115,7 +118,9 @@
         data = _encode_answer(kind, target, request_id_line)
         if kind == "cut":
             data = data[: number % len(data)]
-        await stream.send_all(data)
+        await stream.send_all(self._late_copies.pop(stream, b"") + data)
+        if kind == "repeated":
+            self._late_copies[stream] = data
         if kind == "stray":
             await trio.lowlevel.checkpoint()
             await stream.send_all(_UNREQUESTED_ANSWER)
