Explain the share of a limit that applies at further homes

Cause: the shares of an account's limit stood in two places. The explanation for operators said 0.0 for a third home, where requests are admitted at 0.05.

Change: one function in kumquatsaddle.admission.limits, used by both.

Measured: the new step of operators.feature failed with the former code (0.0) and passes; entry 82 and admission 19 scenarios passed, 0 failed.

--- a/kumquatsaddle/admission/limits.py
+++ b/kumquatsaddle/admission/limits.py
@@ -2,11 +2,16 @@
 
 from collections import OrderedDict
 
-__all__ = ["AccountLimits", "TokenBucket", "make_account_limits"]
+__all__ = ["AccountLimits", "TokenBucket", "get_limit_share", "make_account_limits"]
 
 # Buckets kept by one instance; the least recently used one is evicted first. An evicted
 # bucket starts full again, so the bound is far above the accounts of an instance.
 _MAX_BUCKETS = 4096
+# Fraction of an account's limit that applies at its second home while the primary, its
+# first home, is alive.
+_SECOND_HOME_SHARE = 0.25
+# Fraction that applies at every other instance, home of the service or not.
+_OTHER_INSTANCE_SHARE = 0.05
 
 
 class TokenBucket:
@@ -97,3 +102,20 @@
 def make_account_limits():
     """Return `AccountLimits` without buckets."""
     return AccountLimits()
+
+
+def get_limit_share(instance, homes):
+    """Return the fraction of an account's limit that applies at an instance.
+
+    Parameters
+    ----------
+    instance : InstanceId
+    homes : sequence of InstanceId
+        Homes of the account for a service, the primary first; without any, each
+        instance applies the whole limit.
+    """
+    if not homes or homes[0] == instance:
+        return 1.0
+    if len(homes) > 1 and homes[1] == instance:
+        return _SECOND_HOME_SHARE
+    return _OTHER_INSTANCE_SHARE
--- a/kumquatsaddle/entry/proxy.py
+++ b/kumquatsaddle/entry/proxy.py
@@ -13,6 +13,7 @@
 
 import trio
 
+from kumquatsaddle.admission.limits import get_limit_share
 from kumquatsaddle.dispatch.connections import HOP_BY_HOP_HEADERS
 from kumquatsaddle.dispatch.retries import choose_answer
 from kumquatsaddle.entry.claiming import answer_claimed
@@ -32,11 +33,6 @@
 
 __all__ = ["Proxy", "make_proxy"]
 
-# Fraction of an account's limit that applies at its second home while the primary, its
-# first home, is alive.
-_SECOND_HOME_SHARE = 0.25
-# Fraction that applies at every other instance, home of the service or not.
-_OTHER_INSTANCE_SHARE = 0.05
 # Bounds the cost of int() on a header value.
 _MAX_TIMEOUT_DIGITS = 9
 _ACCOUNT_HEADER = b"kumquatsaddle-account"
@@ -260,7 +256,7 @@
             request.account,
             request.service,
             limit,
-            _get_limit_share(self._node.name, homes),
+            get_limit_share(self._node.name, homes),
             trio.current_time(),
         )
 
@@ -275,14 +271,6 @@
     return target.partition("?")[0]
 
 
-def _get_limit_share(own_name, homes):
-    if not homes or homes[0] == own_name:
-        return 1.0
-    if len(homes) > 1 and homes[1] == own_name:
-        return _SECOND_HOME_SHARE
-    return _OTHER_INSTANCE_SHARE
-
-
 def _select_end_to_end_headers(headers):
     hop_by_hop = set()
     for name, value in headers:
--- a/kumquatsaddle/entry/status.py
+++ b/kumquatsaddle/entry/status.py
@@ -2,14 +2,12 @@
 
 from urllib.parse import urlsplit
 
+from kumquatsaddle.admission.limits import get_limit_share
 from kumquatsaddle.exceptions import RefusedError
 from kumquatsaddle.types import RefusalReason
 
 __all__ = ["describe_status", "explain_request"]
 
-# Fractions of an account's limit that apply at the first and the second home.
-_HOME_LIMIT_SHARES = (1.0, 0.25)
-
 
 def describe_status(node):
     """Return the status of an instance as a JSON object.
@@ -92,14 +90,13 @@
     ordered = node.order_homes(service, account)
     homes = []
     for index, name in enumerate(ordered):
-        share = _HOME_LIMIT_SHARES[index] if index < len(_HOME_LIMIT_SHARES) else 0.0
         position = ("primary", "second")[index] if index < 2 else "further home"
         why = f"{position}: weighted rendezvous score over service and account"
         homes.append(
             {
                 "instance": name,
                 "servers": weights[name],
-                "limit_share": share,
+                "limit_share": get_limit_share(name, ordered),
                 "why": why,
             }
         )
--- a/kumquatsaddle/entry/tests/operators.feature
+++ b/kumquatsaddle/entry/tests/operators.feature
@@ -29,6 +29,7 @@
     # Guards against an explanation that differs from the handling of the request.
     Given an operators' server with a token
     Then a request is explained with rank, limit and homes
+    And each home is explained with the share of the limit that applies there
 
   Scenario: Status page
     # Guards against scripts in names that run in the operator's browser.
--- a/kumquatsaddle/entry/tests/steps/operators.py
+++ b/kumquatsaddle/entry/tests/steps/operators.py
@@ -5,6 +5,7 @@
 import trio
 from behave import given, then
 
+from kumquatsaddle.admission.limits import get_limit_share
 from kumquatsaddle.configuration.transport import ChangesReply
 from kumquatsaddle.dispatch.peers import PeerError
 from kumquatsaddle.testing.operators import OperatorsNode, call_app
@@ -164,6 +165,20 @@
     assert values == [None, {"reason": "disk"}]
 
 
+@then("each home is explained with the share of the limit that applies there")
+@in_trio
+async def check_explained_shares(context):
+    await context.server.load()
+    node, names = context.server.node, ["one", "two", "three"]
+    node.order_homes = lambda service, account: names
+    node.placement.homes_of = lambda service: dict.fromkeys(names, 1)
+    path = "/api/v1/explain?account=shop&method=GET&path=/lookup/7"
+    _, reply = await context.server.call("GET", path)
+    shares = [home["limit_share"] for home in reply["homes"]]
+    assert shares == [get_limit_share(name, names) for name in names]
+    assert shares == [1.0, 0.25, 0.05]
+
+
 @then("a request is explained with rank, limit and homes")
 @in_trio
 async def check_explain(context):
