Keep the time of arrival of bytes that wait behind a steady trickle

Cause: bytes received within 10 ms of each other share one time of arrival. Each merge moved that time to the newest bytes, so that bytes which kept coming moved the arrival of a request that waited in the buffer, and with it its deadline.

Change: the earlier time stays when two arrivals are merged.

--- a/kumquatsaddle/entry/streams.py
+++ b/kumquatsaddle/entry/streams.py
@@ -41,7 +41,8 @@
         self.buffer = bytearray()
         self.ended = False
         self.on_end = lambda: None
-        # Pairs of a number of received bytes and the time when the last of them came.
+        # Pairs of a number of received bytes and the time when the last of them came,
+        # or up to the resolution before.
         self._arrivals = deque()
         self._received_bytes = 0
         self._taken_bytes = 0
@@ -154,7 +155,8 @@
         now = trio.current_time()
         self._received_bytes += size
         if self._arrivals and now - self._arrivals[-1][1] < _ARRIVAL_RESOLUTION_SECONDS:
-            self._arrivals.pop()
+            # The earlier time stays, so that a steady trickle is not merged as a whole.
+            _, now = self._arrivals.pop()
         self._arrivals.append((self._received_bytes, now))
 
     def _is_full(self):
--- a/kumquatsaddle/entry/tests/pipelining.feature
+++ b/kumquatsaddle/entry/tests/pipelining.feature
@@ -27,6 +27,7 @@
     # Guards against a request that runs after its deadline because it waited behind
     # others of its connection.
     Then the time of arrival of a request that waited is that of its last byte
+    And bytes that keep coming do not move the arrival of those before
 
   Scenario: Continue is sent in order
     # Guards against an interim response that is read as part of an earlier answer.
--- a/kumquatsaddle/entry/tests/steps/pipelining.py
+++ b/kumquatsaddle/entry/tests/steps/pipelining.py
@@ -251,6 +251,26 @@
     }
 
 
+@then("bytes that keep coming do not move the arrival of those before")
+def check_arrival_of_trickle(context):
+    conversation = Conversation(TimedProxy())
+    late = get("/c/1", b"X-Long: " + b"z" * 1000 + b"\r\n")
+
+    async def act(conversation):
+        # The reader holds the second request, so that the third waits in the buffer.
+        await conversation.send(post("/order/9"), post("/a/1"), get("/b/1"))
+        for start in range(0, len(late), 2):
+            await conversation.send(late[start : start + 2])
+            await trio.sleep(0.005)
+        await trio.sleep(40)
+        await conversation.ours.send_eof()
+
+    assert len(conversation.run(act)) == 4
+    arrivals = conversation.proxy.arrivals
+    assert arrivals["/b/1"] < 0.02, arrivals
+    assert 2.4 < arrivals["/c/1"] < 2.8, arrivals
+
+
 @then("100 Continue is sent after the answers to all earlier requests")
 def check_continue(context):
     head, body = post("/order/1", b"Expect: 100-continue\r\n").split(b"ok")[0], b"ok"
