Log the rate limits that backend servers state

A server in trouble names the rate that it accepts in each answer. No line and no counter showed whether an instance knew it, so the hypotheses of the incident could not be told apart. The header is decoded in the protocol of the backend servers, each change is logged, and each attempt in a request line shows the limit that was known when the server was chosen. No decision uses it yet.

--- a/kumquatsaddle/balance/dispatcher.py
+++ b/kumquatsaddle/balance/dispatcher.py
@@ -14,6 +14,7 @@
 from kumquatsaddle.balance.budget import RetryLimits
 from kumquatsaddle.balance.pool import BalancedPool
 from kumquatsaddle.dispatch.connections import AnswerMemory, ExchangeError
+from kumquatsaddle.dispatch.rate_limits import read_rate
 from kumquatsaddle.dispatch.retries import choose_answer
 from kumquatsaddle.exchange import Answer
 from kumquatsaddle.logs import log_event
@@ -234,6 +235,7 @@
             server.belief.compute_fault_probability(started_at),
             server.in_flight,
         )
+        limit = server.rate_limit.rate
         attempt = None
         try:
             attempt = await self._exchange(server, request, started_at)
@@ -245,6 +247,7 @@
             attempt_summaries.append(
                 f"{server.name}:{outcome}:{elapsed * 1000:.0f}ms"
                 f":sick={fault_probability:.2f}:load={in_flight}"
+                f"{'' if limit is None else f':limit={limit:g}'}"
             )
         self._record_result(pool, server, request, attempt, started_at)
         return attempt
@@ -292,6 +295,8 @@
         if raw is None:
             reason = RefusalReason.ANSWER_LATE if written else RefusalReason.NO_BACKEND
             return AttemptResult(AttemptOutcome.LATE, Answer.from_reason(reason))
+        rate = read_rate(raw, self.protocol.rate_limit)
+        server.state_rate_limit(rate, trio.current_time())
         return self._read_answer(request, raw)
 
     def _read_answer(self, request, raw):
--- a/kumquatsaddle/balance/servers.py
+++ b/kumquatsaddle/balance/servers.py
@@ -4,6 +4,7 @@
 
 from kumquatsaddle.balance.beliefs import Belief, Observation
 from kumquatsaddle.dispatch.connections import open_connection
+from kumquatsaddle.dispatch.rate_limits import RateLimit
 from kumquatsaddle.logs import log_event
 
 __all__ = ["BalancedServer"]
@@ -57,6 +58,7 @@
         Observations that this instance made itself, since it knows the server.
     untried : bool
         Whether it is new and no instance is known to have sent it a request.
+    rate_limit : RateLimit
     gone : bool
         Whether it has left the list or another server answers at its address.
     cold_until : float
@@ -76,6 +78,7 @@
             Observation.FAILED_SLOWLY: 0,
         }
         self.untried = is_new
+        self.rate_limit = RateLimit()
         self.gone = False
         self._doubted = False
         self._failed_at = float("-inf")
@@ -246,6 +249,29 @@
             slowdown = max(slowdown, min(10.0, (now - started_at) / expected - 1.0))
         return slowdown
 
+    def state_rate_limit(self, rate, stated_at):
+        """Set the rate that an answer stated; return whether it has changed.
+
+        Parameters
+        ----------
+        rate : float or None
+            In requests a second; None if the answer stated none.
+        stated_at : float
+            When the answer arrived, on the clock of trio in seconds.
+        """
+        before = self.rate_limit.rate
+        if not self.rate_limit.state(rate, stated_at):
+            return False
+        log_event(
+            "backend_limited" if rate is not None else "backend_limit_ended",
+            backend=self.name,
+            service=self.record.service,
+            rate=rate,
+            before=before,
+            load=self.in_flight,
+        )
+        return True
+
     def mark_full(self, now, pause):
         """Make the server unavailable for a time after it shed a request."""
         self._full_until = now + pause
--- a/kumquatsaddle/balance/tests/dispatcher.feature
+++ b/kumquatsaddle/balance/tests/dispatcher.feature
@@ -53,3 +53,8 @@
     # Guards against an unknown outcome in place of the answer of an earlier attempt.
     Given two servers of which the first fails and the second closes
     Then an idempotent request gets the failure
+
+  Scenario: A rate limit that a server states is logged, changed and ended
+    # Guards against a limit that no log line shows, so that its cause cannot be found.
+    Given a server that states rates and then none
+    Then its rate follows the latest answer and each change is logged
--- a/kumquatsaddle/balance/tests/steps/dispatcher.py
+++ b/kumquatsaddle/balance/tests/steps/dispatcher.py
@@ -1,3 +1,5 @@
+import re
+
 import trio
 from behave import given, then, when
 from hypothesis import given as for_all
@@ -7,6 +9,7 @@
 from kumquatsaddle.balance import RoutedRequest, make_balanced_dispatcher
 from kumquatsaddle.discovery.records import ServerRecord
 from kumquatsaddle.dispatch.protocol import BackendProtocol
+from kumquatsaddle.logs import set_log_level
 from kumquatsaddle.metrics import make_metrics
 from kumquatsaddle.routes import PublishedRoute, RouteShare
 from kumquatsaddle.settings.parsers import parse_address
@@ -19,6 +22,7 @@
     deadline=b"kumquatsaddle-deadline-ms",
     expected_server=b"expected-server",
     unprocessed=b"backend-unprocessed",
+    rate_limit=b"backend-rate-limit",
     skips_unmatched_answers=True,
 )
 # Actions after which a server may have run the request.
@@ -355,3 +359,38 @@
 @then("an idempotent request gets the failure")
 def check_failure(context):
     assert context.result[0].status == 500, context.result[0]
+
+
+@given("a server that states rates and then none")
+def prepare_rates(context):
+    context.log_lines = []
+    set_log_level("INFO", context.log_lines.append)
+    context.add_cleanup(set_log_level, "CRITICAL")
+
+    async def run():
+        context.rates = []
+        async with trio.open_nursery() as nursery:
+            servers, dispatcher = await open_servers(nursery, 1)
+            (server,) = dispatcher.list_servers()
+            for number, rate in enumerate((b"250", b"250", b"90.5", b"many", None)):
+                servers.rate_limit = rate
+                await dispatcher.dispatch(make_request(number, False))
+                context.rates.append(server.rate_limit.rate)
+            nursery.cancel_scope.cancel()
+
+    trio.run(run)
+
+
+@then("its rate follows the latest answer and each change is logged")
+def check_rates(context):
+    assert context.rates == [250.0, 250.0, 90.5, None, None], context.rates
+    events = re.findall(
+        r"event=(backend_limit\w+|rate_limit_invalid)", "".join(context.log_lines)
+    )
+    assert events == [
+        "backend_limited",
+        "backend_limited",
+        "rate_limit_invalid",
+        "backend_limit_ended",
+    ], events
+    assert ":limit=90.5" in "".join(context.log_lines)
--- a/kumquatsaddle/dispatch/protocol.py
+++ b/kumquatsaddle/dispatch/protocol.py
@@ -24,6 +24,9 @@
     signature : bytes
         Present in each successful answer of a server; an answer without it comes from
         something else. Only the presence of the header is checked, not its value.
+    rate_limit : bytes
+        Requests a second that a server accepts from all instances together. A server
+        in trouble repeats it in each answer.
     allows_close_delimited : bool
         Whether the end of the connection may delimit an answer (RFC 9112, section 6.3).
     skips_unmatched_answers : bool
@@ -36,6 +39,7 @@
     expected_server: bytes = b""
     unprocessed: bytes = b""
     signature: bytes = b""
+    rate_limit: bytes = b""
     allows_close_delimited: bool = False
     skips_unmatched_answers: bool = False
 
@@ -44,4 +48,5 @@
     request_id=b"kumquatsaddle-request",
     deadline=b"kumquatsaddle-deadline-ms",
     unprocessed=b"backend-unprocessed",
+    rate_limit=b"backend-rate-limit",
 )
--- a/kumquatsaddle/testing/backends.py
+++ b/kumquatsaddle/testing/backends.py
@@ -45,6 +45,8 @@
     Attributes
     ----------
     script : list of (str, int)
+    rate_limit : bytes or None
+        Rate limit that each answer states, in requests a second.
     default : (str, int)
         Action when the script is empty.
     reached, refused : list of str
@@ -56,6 +58,7 @@
     def __init__(self, nursery):
         self.nursery = nursery
         self.script = []
+        self.rate_limit = None
         self.default = ("whole", 0)
         self.reached = []
         self.refused = []
@@ -115,6 +118,8 @@
             await self.release_answer.wait()
         if kind == "close":
             return False
+        if self.rate_limit is not None:
+            request_id_line += b"Backend-Rate-Limit: %b\r\n" % self.rate_limit
         data = _encode_answer(kind, target, request_id_line)
         if kind == "cut":
             data = data[: number % len(data)]
