Use one token bucket for accounts, claims and log lines

The sink of log lines had a copy of the bucket of the account limits. No change of behaviour: the folders of tests of logs and admission pass (8 and 19 scenarios).

--- a/kumquatsaddle/admission/limits.py
+++ b/kumquatsaddle/admission/limits.py
@@ -2,7 +2,9 @@
 
 from collections import OrderedDict
 
-__all__ = ["AccountLimits", "TokenBucket", "get_limit_share", "make_account_limits"]
+from kumquatsaddle.buckets import TokenBucket
+
+__all__ = ["AccountLimits", "get_limit_share", "make_account_limits"]
 
 # Buckets kept by one instance; the least recently used one is evicted first. An evicted
 # bucket starts full again, so the bound is far above the accounts of an instance.
@@ -14,53 +16,6 @@
 _OTHER_INSTANCE_SHARE = 0.05
 
 
-class TokenBucket:
-    """A token bucket.
-
-    Parameters
-    ----------
-    rate : float
-        Tokens a second.
-    burst : float
-        Maximum number of tokens in the bucket.
-    now : float
-        Current time in seconds.
-    """
-
-    __slots__ = ("rate", "burst", "_tokens", "_updated_at")
-
-    def __init__(self, rate, burst, now):
-        self.rate = rate
-        self.burst = burst
-        self._tokens = burst
-        self._updated_at = now
-
-    def try_take(self, now, amount=1.0):
-        """Remove `amount` tokens if there are as many; return whether there were."""
-        self._refill(now)
-        if self._tokens < amount:
-            return False
-        self._tokens -= amount
-        return True
-
-    def change(self, rate, burst, now):
-        """Set the rate and the burst.
-
-        The time until now is credited at the former rate. An instance that takes over a
-        limit must not get tokens at the full rate for the time in which it had a small
-        share.
-        """
-        self._refill(now)
-        self.rate = rate
-        self.burst = burst
-        self._tokens = min(self._tokens, burst)
-
-    def _refill(self, now):
-        refilled = self._tokens + max(0.0, now - self._updated_at) * self.rate
-        self._tokens = min(self.burst, refilled)
-        self._updated_at = max(self._updated_at, now)
-
-
 class AccountLimits:
     """The token buckets of the accounts whose limits this instance enforces."""
 
--- a/kumquatsaddle/lifecycle/claim_rate.py
+++ b/kumquatsaddle/lifecycle/claim_rate.py
@@ -2,7 +2,7 @@
 
 import time
 
-from kumquatsaddle.admission.limits import TokenBucket
+from kumquatsaddle.buckets import TokenBucket
 
 __all__ = ["make_claim_bucket", "set_claim_rate"]
 
--- a/kumquatsaddle/sinks.py
+++ b/kumquatsaddle/sinks.py
@@ -8,6 +8,8 @@
 import os
 import time
 
+from kumquatsaddle.buckets import TokenBucket
+
 __all__ = ["BoundedSink", "make_bounded_sink"]
 
 # Rate limit in lines per second and burst in lines: for events up to INFO, and for
@@ -20,23 +22,6 @@
 _REPORT_INTERVAL_SECONDS = 1.0
 
 
-class _TokenBucket:
-    def __init__(self, rate, burst, now):
-        self._rate = rate
-        self._burst = burst
-        self._tokens = burst
-        self._updated_at = now
-
-    def try_take(self, now):
-        elapsed = now - self._updated_at
-        self._tokens = min(self._burst, self._tokens + elapsed * self._rate)
-        self._updated_at = now
-        if self._tokens < 1.0:
-            return False
-        self._tokens -= 1.0
-        return True
-
-
 class BoundedSink:
     """Writes log lines to a file descriptor without blocking.
 
@@ -58,8 +43,8 @@
         self._descriptor = descriptor
         self._clock = clock
         now = clock()
-        self._info_bucket = _TokenBucket(_INFO_LINES_PER_SECOND, _INFO_BURST_LINES, now)
-        self._warning_bucket = _TokenBucket(
+        self._info_bucket = TokenBucket(_INFO_LINES_PER_SECOND, _INFO_BURST_LINES, now)
+        self._warning_bucket = TokenBucket(
             _WARNING_LINES_PER_SECOND, _WARNING_BURST_LINES, now
         )
         self._unwritten = b""
