Rely on a retry only if the retry budget has room for it

Callers of repeatable requests got a 500 of a doubtful server while sound ones had no room for the moment. The choice of a server lowers the expected failure of a repeatable request because a retry would follow, but an empty budget then denied the retry. The choice now counts the retries that the budget allows at that time.

The new scenario failed with the former line (the doubtful server was tried at an empty budget) and passes.

--- a/kumquatsaddle/balance/budget.py
+++ b/kumquatsaddle/balance/budget.py
@@ -36,15 +36,17 @@
         self._drop_expired(now)
         self._requests.append(now)
 
+    def has_room(self):
+        """Return whether the budget allows a retry now."""
+        self._drop_expired(self._clock())
+        limit = self._limits.compute_max_retries(len(self._requests))
+        return len(self._retries) + 1 <= limit
+
     def try_withdraw(self):
         """Count a retry if the budget allows one; return whether it does."""
-        now = self._clock()
-        self._drop_expired(now)
-        if len(self._retries) + 1 > self._limits.compute_max_retries(
-            len(self._requests)
-        ):
+        if not self.has_room():
             return False
-        self._retries.append(now)
+        self._retries.append(self._clock())
         return True
 
     def _drop_expired(self, now):
--- a/kumquatsaddle/balance/dispatcher.py
+++ b/kumquatsaddle/balance/dispatcher.py
@@ -181,7 +181,7 @@
         while sent < request.route.max_attempts:
             if outcome is not None and not self._reserve_retry(pool, request, outcome):
                 break
-            request.attempts_left = request.route.max_attempts - sent - 1
+            request.attempts_left = self._count_retries_left(pool, request, sent)
             server = await self._acquire_server(pool, request, excluded)
             if server is None:
                 answer = answer or Answer.from_reason(RefusalReason.NO_BACKEND)
@@ -209,6 +209,13 @@
             self.pools[service] = pool
         return pool
 
+    def _count_retries_left(self, pool, request, sent):
+        """Return how often a request may be sent again after its next attempt.
+
+        A choice that counts on a retry loses the request if the budget denies it.
+        """
+        return request.route.max_attempts - sent - 1 if pool.budget.has_room() else 0
+
     def _reserve_retry(self, pool, request, outcome):
         """Return whether a request may be retried; count it in the budget if it may."""
         if outcome not in _NOT_RUN and not request.idempotent:
--- a/kumquatsaddle/balance/tests/dispatcher.feature
+++ b/kumquatsaddle/balance/tests/dispatcher.feature
@@ -17,6 +17,12 @@
     Then for any script of answers an idempotent request runs on two servers at most
     And a service whose retry budget is empty sends no retry
 
+  Scenario: A repeatable request relies on a retry only if the budget has room for it
+    # Guards against requests lost at a doubtful server because their retry is denied.
+    Given a server whose slots are taken and one that failed fast
+    Then a repeatable request tries the doubtful server if the budget allows a retry
+    And it waits for the other one if the budget allows none
+
   Scenario: A server that answers for another one is left at once
     # Guards against further requests to an address that now belongs to another server.
     Given servers of which one answers 421
--- a/kumquatsaddle/balance/tests/steps/dispatcher.py
+++ b/kumquatsaddle/balance/tests/steps/dispatcher.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 
 from kumquatsaddle.balance import RoutedRequest, make_balanced_dispatcher
+from kumquatsaddle.balance.beliefs import Observation
 from kumquatsaddle.discovery.records import ServerRecord
 from kumquatsaddle.dispatch.protocol import BackendProtocol
 from kumquatsaddle.logs import set_log_level
@@ -394,3 +395,41 @@
         "backend_limit_ended",
     ], events
     assert ":limit=90.5" in "".join(context.log_lines)
+
+
+@given("a server whose slots are taken and one that failed fast")
+def prepare_doubtful(context):
+    async def start(nursery, **retry_limits):
+        servers, dispatcher = await open_servers(nursery, 2, **retry_limits)
+        full, doubtful = dispatcher.list_servers()
+        for number in range(full.record.slots):
+            full.begin(number, trio.current_time(), 5.0)
+        for _ in range(3):
+            doubtful.observe(trio.current_time(), Observation.FAILED_FAST)
+        return servers, dispatcher
+
+    context.start = start
+
+
+def send_briefly(start, **retry_limits):
+    """Return what reached the servers in the first 0.1 s of a repeatable request."""
+
+    async def run():
+        async with trio.open_nursery() as nursery:
+            servers, dispatcher = await start(nursery, **retry_limits)
+            with trio.move_on_after(0.1):
+                await dispatcher.dispatch(make_request(1, True))
+            nursery.cancel_scope.cancel()
+        return servers.reached
+
+    return trio.run(run)
+
+
+@then("a repeatable request tries the doubtful server if the budget allows a retry")
+def check_tried(context):
+    assert send_briefly(context.start, share=1.0, allowance=9.0)
+
+
+@then("it waits for the other one if the budget allows none")
+def check_not_tried(context):
+    assert not send_briefly(context.start, share=0.0, allowance=0.0)
