Stay within the request rate that backend servers state

The class of fault is a limit for the whole fleet that every instance would have to keep without a message per request.

Each limited server is used by a few instances, chosen by rendezvous hashing in its zone and in zones where the service has no server; they divide its rate as token buckets that take turns. Limits travel in the reports between instances, at once when they change; one that nobody tells for 30 s is forgotten. Waiting requests that the limits do not let start in time are refused with the time to come back. In the own deployment the home of a server is its only user and keeps the whole rate.

--- a/kumquatsaddle/balance/dispatcher.py
+++ b/kumquatsaddle/balance/dispatcher.py
@@ -14,8 +14,9 @@
 from kumquatsaddle.balance.budget import RetryLimits
 from kumquatsaddle.balance.pool import BalancedPool
 from kumquatsaddle.dispatch.connections import AnswerMemory, ExchangeError
-from kumquatsaddle.dispatch.rate_limits import read_rate
+from kumquatsaddle.dispatch.rate_limits import WHOLE_RATE, read_rate
 from kumquatsaddle.dispatch.retries import choose_answer
+from kumquatsaddle.exceptions import RateLimitedError
 from kumquatsaddle.exchange import Answer
 from kumquatsaddle.logs import log_event
 from kumquatsaddle.types import Outcome, RefusalReason, RetryReason
@@ -100,6 +101,11 @@
     on_answer : callable
         Called after each served, failed or lost attempt with its server and the
         `Observation`, or None if it showed nothing new.
+    on_limit_changed : callable
+        Called with a server when the rate limit that it states has changed.
+    compute_limit_share : callable
+        Returns the `RateShare` of this instance for a server with a limit and the
+        zones in which its service has servers; default: all of it.
     """
 
     def __init__(self, zone, protocol, retry_limits, metrics, max_answer_bytes):
@@ -112,6 +118,8 @@
         self.averages = RouteAverages()
         self.on_load_changed = lambda server: None
         self.on_answer = lambda server, observation: None
+        self.on_limit_changed = lambda server: None
+        self.compute_limit_share = lambda server, supplied_zones: WHOLE_RATE
         self._zone = zone
         self._unattended = frozenset()
 
@@ -127,7 +135,9 @@
             by_service.setdefault(record.service, {})[record.name] = record
         for service in set(self.pools) | set(by_service):
             pool = self._get_or_create_pool(service)
-            for server in pool.update(by_service.get(service, {})):
+            removed = pool.update(by_service.get(service, {}))
+            self._set_limit_shares(pool)
+            for server in removed:
                 await server.close()
 
     def set_unattended(self, zones):
@@ -160,6 +170,28 @@
         for pool in self.pools.values():
             yield from pool.servers.values()
 
+    def state_rate_limit(self, server, rate, stated_at, is_first_hand=True):
+        """Set the rate limit of a server; see `BalancedServer.state_rate_limit`."""
+        if server.state_rate_limit(rate, stated_at, is_first_hand):
+            pool = self.pools[server.record.service]
+            self._set_limit_shares(pool)
+            self.on_limit_changed(server)
+            pool.assign_waiting()
+
+    def update_limit_shares(self):
+        """Compute this instance's shares of all rate limits again."""
+        for pool in self.pools.values():
+            self._set_limit_shares(pool)
+            pool.assign_waiting()
+
+    def _set_limit_shares(self, pool):
+        servers = pool.list_in_service()
+        limited = [server for server in servers if server.rate_limit.rate is not None]
+        zones = {server.record.zone for server in servers} if limited else ()
+        for server in limited:
+            share = self.compute_limit_share(server, zones)
+            server.rate_limit.set_share(share, trio.current_time())
+
     async def dispatch(self, request):
         """Run a request on a backend server and return the answer.
 
@@ -182,7 +214,13 @@
             if outcome is not None and not self._reserve_retry(pool, request, outcome):
                 break
             request.attempts_left = self._count_retries_left(pool, request, sent)
-            server = await self._acquire_server(pool, request, excluded)
+            try:
+                server = await self._acquire_server(pool, request, excluded)
+            except RateLimitedError as error:
+                answer = answer or Answer.from_reason(
+                    error.reason, retry_after=error.retry_after
+                )
+                break
             if server is None:
                 answer = answer or Answer.from_reason(RefusalReason.NO_BACKEND)
                 break
@@ -303,7 +341,7 @@
             reason = RefusalReason.ANSWER_LATE if written else RefusalReason.NO_BACKEND
             return AttemptResult(AttemptOutcome.LATE, Answer.from_reason(reason))
         rate = read_rate(raw, self.protocol.rate_limit)
-        server.state_rate_limit(rate, trio.current_time())
+        self.state_rate_limit(server, rate, trio.current_time())
         return self._read_answer(request, raw)
 
     def _read_answer(self, request, raw):
--- /dev/null
+++ b/kumquatsaddle/balance/limit_shares.py
@@ -0,0 +1,106 @@
+"""Which instances use a backend server that states a rate limit, and for which share.
+
+The limit holds for all instances together. A few instances divide it in equal shares,
+so that no message is needed before a request, and their number grows with the rate:
+each has a burst of one request, and the sum of the bursts must stay small beside the
+limit. The others leave the server to them. They belong to the zone of the server and to
+zones in which the service has no server, which would get nothing otherwise. They are
+chosen by rendezvous hashing [1]_, so that all instances choose the same ones and only
+the share of an instance that is lost moves.
+
+References
+----------
+.. [1] D. G. Thaler and C. V. Ravishankar, "Using name-based mappings to increase hit
+   rates", IEEE/ACM Transactions on Networking 6(1), 1998.
+"""
+
+from hashlib import blake2b
+
+from kumquatsaddle.dispatch.rate_limits import RateShare
+
+__all__ = ["LimitShares"]
+
+# Instances that use a server, in addition to one for each request a second.
+_BASE_USERS = 4
+# Zones without a server of the service whose instances use a server of another zone.
+_MAX_FURTHER_ZONES = 3
+_NO_SHARE = RateShare(0.0)
+
+
+class LimitShares:
+    """Computes the share of one instance.
+
+    Parameters
+    ----------
+    own : InstanceRecord
+    """
+
+    def __init__(self, own):
+        self._own = own
+        self._active = ()
+        self._attended = frozenset({own.zone})
+
+    def update(self, active, attended):
+        """Set the instances and zones to choose from; return whether they changed.
+
+        Parameters
+        ----------
+        active : iterable of InstanceId
+            Instances of this zone that callers are sent to.
+        attended : iterable of ZoneId
+            Other zones that have an instance.
+        """
+        active = tuple(sorted(active))
+        attended = frozenset(attended) | {self._own.zone}
+        if (active, attended) == (self._active, self._attended):
+            return False
+        self._active, self._attended = active, attended
+        return True
+
+    def compute_share(self, server, supplied_zones):
+        """Return the share of the rate limit of a server for this instance.
+
+        Parameters
+        ----------
+        server : BalancedServer
+            Its limit must have a rate.
+        supplied_zones : collection of ZoneId
+            Zones in which the service of the server has servers.
+
+        Returns
+        -------
+        RateShare
+            Its fraction is 0 if the server is left to other instances.
+        """
+        zones = self._choose_zones(server, supplied_zones)
+        if self._own.zone not in zones:
+            return _NO_SHARE
+        number = _BASE_USERS // len(zones) + int(server.rate_limit.rate / len(zones))
+        users = _sort_by_score(server, self._active)[:number]
+        if self._own.name not in users:
+            return _NO_SHARE
+        turn = zones.index(self._own.zone) / len(zones) + users.index(self._own.name)
+        return RateShare(1.0 / (len(zones) * len(users)), turn / len(users))
+
+    def _choose_zones(self, server, supplied_zones):
+        """Return the zones whose instances use a server.
+
+        The first one is its own, or another one while its own has no instance.
+        """
+        by_score = _sort_by_score(server, self._attended)
+        zone = server.record.zone
+        home = zone if zone in self._attended else by_score[0]
+        without = [
+            other for other in by_score if other not in supplied_zones and other != home
+        ]
+        return [home, *without[:_MAX_FURTHER_ZONES]]
+
+
+def _sort_by_score(server, names):
+    """Return names in the order of their score for a server."""
+    return sorted(
+        names,
+        key=lambda name: blake2b(
+            f"{server.name}/{name}".encode(), digest_size=8
+        ).digest(),
+    )
--- a/kumquatsaddle/balance/pool.py
+++ b/kumquatsaddle/balance/pool.py
@@ -1,5 +1,8 @@
 """The backend servers of one service at one instance, and its queue of requests."""
 
+from collections import deque
+from itertools import count
+
 import trio
 
 from kumquatsaddle.balance.budget import SlidingRetryBudget
@@ -10,6 +13,8 @@
     is_explorable,
 )
 from kumquatsaddle.balance.servers import BalancedServer
+from kumquatsaddle.dispatch.rate_limits import merge_delays
+from kumquatsaddle.exceptions import RateLimitedError
 
 __all__ = ["BalancedPool"]
 
@@ -22,18 +27,27 @@
 _USED_WINDOW_SECONDS = 1.7
 # How long only repeatable requests try unused servers, if there are such requests.
 _REPEATABLE_FIRST_SECONDS = 1.0
+# Retry-After for a request that only servers could run which are left to others.
+_OTHER_INSTANCES_RETRY_SECONDS = 1.0
+# Time over which the rate at which the queue drains is counted.
+_DRAIN_WINDOW_SECONDS = 2.0
+# A request is refused only if the queue would not reach it in time even if it drained
+# this much faster: few requests in the window make the rate uncertain.
+_DRAIN_TOLERANCE = 2.0
 # Shortest time between counts of the servers in use while no request is sent.
 _USE_COUNT_INTERVAL_SECONDS = 0.1
 
 
 class _Waiter:
-    __slots__ = ("request", "excluded", "event", "server")
+    __slots__ = ("request", "excluded", "until", "event", "server", "retry_after")
 
-    def __init__(self, request, excluded):
+    def __init__(self, request, excluded, until):
         self.request = request
         self.excluded = excluded
+        self.until = until
         self.event = trio.Event()
         self.server = None
+        self.retry_after = None
 
     @property
     def selection_key(self):
@@ -67,6 +81,9 @@
         self._protocol = protocol
         self._averages = averages
         self._waiters = []
+        # When the queue was empty last, and when requests started since then.
+        self._empty_at = float("-inf")
+        self._started_at = deque()
         self._assigned_at = float("-inf")
         self._local_first = ()
         self._explores = False
@@ -116,6 +133,12 @@
         BalancedServer or None
             None if no acceptable server had a free slot in time, or immediately if no
             server in service is left to try.
+
+        Raises
+        ------
+        RateLimitedError
+            If the rate limits of the servers leave no room in time. It is raised as
+            soon as this is known.
         """
         if not any(
             server.is_in_service() and name not in excluded
@@ -126,16 +149,22 @@
         if not self._must_queue(request):
             server = self._choose(request, excluded)
         if server is None:
-            waiter = _Waiter(request, excluded)
+            waiter = _Waiter(request, excluded, until)
+            if not self._waiters:
+                self._empty_at = trio.current_time()
+                self._started_at.clear()
             self._waiters.append(waiter)
             # By rank, the most urgent first; within a rank by deadline.
             self._waiters.sort(key=_compute_queue_order)
+            self._refuse_limited()
             try:
                 await self._wait(waiter, until)
             finally:
                 if waiter in self._waiters:
                     self._waiters.remove(waiter)
             server = waiter.server
+            if server is None:
+                self._raise_if_limited(waiter)
         return server
 
     def release(self, server, request):
@@ -162,6 +191,57 @@
                 self._waiters.remove(waiter)
                 waiter.server = server
                 waiter.event.set()
+        if self._waiters:
+            self._refuse_limited()
+
+    def _refuse_limited(self):
+        """Refuse the waiting requests that the rate limits do not let start in time."""
+        delays = self._iterate_delays()
+        if delays is None:
+            return
+        delay = next(delays, None)
+        latest_check = trio.current_time() + _QUEUE_CHECK_INTERVAL_SECONDS
+        for waiter in list(self._waiters):
+            if delay is not None and latest_check + delay <= waiter.until:
+                delay = next(delays, None)
+                continue
+            self._waiters.remove(waiter)
+            waiter.retry_after = delay or _OTHER_INSTANCES_RETRY_SECONDS
+            waiter.event.set()
+
+    def _raise_if_limited(self, waiter):
+        """Raise `RateLimitedError` if limits kept a request from all servers."""
+        retry_after = waiter.retry_after
+        if retry_after is None:
+            delays = self._iterate_delays()
+            if delays is None:
+                return
+            retry_after = next(delays, None) or _OTHER_INSTANCES_RETRY_SECONDS
+        raise RateLimitedError(retry_after, waiter.request.service)
+
+    def _iterate_delays(self):
+        """Return when waiting requests can start, as far as rate limits decide it.
+
+        Servers without a limit take more when a slot becomes free. If there are such
+        ones, the rate at which the queue drains tells how many.
+
+        Returns
+        -------
+        iterator of float or None
+            Ascending, in seconds; None if it is not known.
+        """
+        now = trio.current_time()
+        limits = [server.rate_limit for server in self.list_in_service()]
+        delays = merge_delays(limits, now)
+        if delays is not None or all(limit.rate is None for limit in limits):
+            return delays
+        if now - self._empty_at < _DRAIN_WINDOW_SECONDS:
+            return None
+        while self._started_at and self._started_at[0] < now - _DRAIN_WINDOW_SECONDS:
+            self._started_at.popleft()
+        expected = max(1, len(self._started_at)) * _DRAIN_TOLERANCE
+        interval = _DRAIN_WINDOW_SECONDS / expected
+        return count(interval, interval)
 
     def _needs_exploration(self, now):
         """Return whether servers that are not in use have to be tried.
@@ -208,6 +288,10 @@
         used = sum(now - server.used_at < _USED_WINDOW_SECONDS for server in usable)
         return used < _MIN_USED_SHARE * len(usable)
 
+    def list_in_service(self):
+        """Return the servers that are neither gone nor draining."""
+        return list(filter(BalancedServer.is_in_service, self.servers.values()))
+
     def count_waiting(self):
         """Return the number of waiting requests."""
         return len(self._waiters)
@@ -250,6 +334,8 @@
             return None
         # Added to the load here, because the task of a waiting request runs only later.
         server.begin(id(request), now, self._averages.estimate_seconds(request.route))
+        if self._waiters:
+            self._started_at.append(now)
         self._use_counted_at = float("-inf")
         return server
 
--- a/kumquatsaddle/balance/servers.py
+++ b/kumquatsaddle/balance/servers.py
@@ -145,6 +145,7 @@
     def begin(self, key, now, expected):
         """Add a request, expected to take `expected` seconds, to those in flight."""
         self.own_in_flight += 1
+        self.rate_limit.take(now)
         self.used_at = now
         self.untried = False
         self._requests_in_flight[key] = (now, expected)
@@ -249,7 +250,7 @@
             slowdown = max(slowdown, min(10.0, (now - started_at) / expected - 1.0))
         return slowdown
 
-    def state_rate_limit(self, rate, stated_at):
+    def state_rate_limit(self, rate, stated_at, is_first_hand=True):
         """Set the rate that an answer stated; return whether it has changed.
 
         Parameters
@@ -258,9 +259,11 @@
             In requests a second; None if the answer stated none.
         stated_at : float
             When the answer arrived, on the clock of trio in seconds.
+        is_first_hand : bool, default=True
+            Whether the answer arrived at this instance.
         """
-        before = self.rate_limit.rate
-        if not self.rate_limit.state(rate, stated_at):
+        before, now = self.rate_limit.rate, trio.current_time()
+        if not self.rate_limit.state(rate, stated_at, now, is_first_hand):
             return False
         log_event(
             "backend_limited" if rate is not None else "backend_limit_ended",
@@ -268,6 +271,7 @@
             service=self.record.service,
             rate=rate,
             before=before,
+            first_hand=is_first_hand,
             load=self.in_flight,
         )
         return True
@@ -287,9 +291,9 @@
         return not self.gone and not self.record.draining
 
     def is_available(self, now):
-        """Return whether the server is in service and not paused."""
+        """Return whether the server is in service, not paused and below its limit."""
         paused = max(self._unreachable_until, self._full_until)
-        return self.is_in_service() and now >= paused
+        return self.is_in_service() and now >= paused and self.rate_limit.allows(now)
 
     async def acquire_connection(self, idempotent):
         """Return an idle connection for a request, or open one.
--- a/kumquatsaddle/buckets.py
+++ b/kumquatsaddle/buckets.py
@@ -34,6 +34,11 @@
         self._tokens -= amount
         return True
 
+    def count(self, now):
+        """Return the number of tokens in it."""
+        self._refill(now)
+        return self._tokens
+
     def change(self, rate, burst, now):
         """Set the rate and the burst.
 
--- a/kumquatsaddle/dispatch/dispatcher.py
+++ b/kumquatsaddle/dispatch/dispatcher.py
@@ -17,6 +17,8 @@
     ExchangeError,
 )
 from kumquatsaddle.dispatch.pools import make_pool
+from kumquatsaddle.dispatch.protocol import DEFAULT_PROTOCOL
+from kumquatsaddle.dispatch.rate_limits import read_rate
 from kumquatsaddle.dispatch.retries import (
     choose_answer,
     get_retry_reason,
@@ -107,7 +109,9 @@
             try:
                 server = await self._acquire_slot(pool, request, excluded)
             except RefusedError as error:
-                refusal = Answer.from_reason(error.reason, request.operation)
+                refusal = Answer.from_reason(
+                    error.reason, request.operation, error.retry_after
+                )
                 # The answer of a failed attempt is more specific than a refusal
                 # for lack of another server.
                 return answer or refusal
@@ -156,10 +160,11 @@
         # The queue costs 20 us and is not needed while no request waits.
         server = None if len(pool.queue) else pool.choose_server(waiter)
         if server is not None:
-            server.in_flight += 1
+            server.take_slot()
             return server
         # A request with less time left than this is usually answered too late.
         pool.queue.service_time = min(pool.baseline.p99, 2 * pool.baseline.median)
+        pool.refuse_if_limited(request.deadline - pool.queue.service_time)
         dropped = pool.queue.push(waiter)
         if dropped is not None:
             dropped.refuse(RefusalReason.QUEUE_FULL)
@@ -239,6 +244,7 @@
 
     def _handle_answer(self, pool, server, request, raw, started_at):
         latency = trio.current_time() - started_at
+        pool.state_rate_limit(server, read_rate(raw, DEFAULT_PROTOCOL.rate_limit))
         is_draining = raw.get_header(_STATE_HEADER) == b"draining"
         if is_draining:
             pool.record_draining(server)
--- a/kumquatsaddle/dispatch/pools.py
+++ b/kumquatsaddle/dispatch/pools.py
@@ -2,12 +2,15 @@
 
 from collections import Counter
 from contextlib import contextmanager
+from itertools import islice
 
 import trio
 
 from kumquatsaddle.admission.queue import make_queue
 from kumquatsaddle.dispatch.digests import ServiceDigest
+from kumquatsaddle.dispatch.rate_limits import WHOLE_RATE, merge_delays
 from kumquatsaddle.dispatch.servers import BackendServer
+from kumquatsaddle.exceptions import RateLimitedError
 from kumquatsaddle.health.baseline import make_baseline
 from kumquatsaddle.health.peers import is_service_slow
 from kumquatsaddle.health.tokens import choose_returns, may_eject
@@ -130,10 +133,40 @@
             if waiter is None:
                 return
             server = self.choose_server(waiter)
-            server.in_flight += 1
+            server.take_slot()
             waiter.slot = server
             waiter.event.set()
 
+    def state_rate_limit(self, server, rate):
+        """Set the rate in requests a second that an answer stated, or None."""
+        before, now = server.rate_limit.rate, self._clock()
+        if server.rate_limit.state(rate, now, now):
+            if rate is not None:
+                server.rate_limit.set_share(WHOLE_RATE, now)
+            event = "backend_limited" if rate is not None else "backend_limit_ended"
+            log_event(event, backend=server.name, rate=rate, before=before)
+
+    def refuse_if_limited(self, start_by):
+        """Refuse a new request that the rate limits do not let start in time.
+
+        Parameters
+        ----------
+        start_by : float
+            Time in seconds by which it must start.
+
+        Raises
+        ------
+        RateLimitedError
+        """
+        now = self._clock()
+        limits = (server.rate_limit for server in self.servers.values())
+        delays = merge_delays(limits, now)
+        if delays is None:
+            return
+        delay = next(islice(delays, len(self.queue), None), None)
+        if delay is None or now + delay > start_by:
+            raise RateLimitedError(delay, self.service.name)
+
     def count_free_slots(self):
         """Return how many requests could start now."""
         return sum(
--- a/kumquatsaddle/dispatch/servers.py
+++ b/kumquatsaddle/dispatch/servers.py
@@ -3,6 +3,7 @@
 import trio
 
 from kumquatsaddle.dispatch.connections import open_connection
+from kumquatsaddle.dispatch.rate_limits import RateLimit
 from kumquatsaddle.health.server_health import ServerHealth
 from kumquatsaddle.settings.parsers import parse_address
 from kumquatsaddle.types import BackendState
@@ -35,6 +36,8 @@
     adaptive_limit : float
         Limit of concurrent requests, which falls when the server sheds one and rises
         with answers. The state of its health may allow fewer.
+    rate_limit : RateLimit
+        The home is the only user of the server, so it uses the whole rate.
     """
 
     def __init__(self, backend, slots, baseline, clock=trio.current_time):
@@ -43,6 +46,8 @@
         self.slots = slots
         self.adaptive_limit = float(slots)
         self.in_flight = 0
+        self.rate_limit = RateLimit()
+        self._clock = clock
         self.health = ServerHealth(backend.name, baseline, slots, clock)
         # Sequence number of the last choice of this server; of equally loaded servers,
         # the least recently chosen one is taken.
@@ -62,7 +67,12 @@
             self.adaptive_limit = min(self.adaptive_limit, float(slots))
 
     def count_free_slots(self):
-        """Return how many more requests the lower of the two limits allows now."""
+        """Return how many more requests the lower of the two limits allows now.
+
+        It is 0 while the rate that the server states allows none.
+        """
+        if not self.rate_limit.allows(self._clock()):
+            return 0
         limit = min(int(self.adaptive_limit), self.health.get_state_limit())
         return max(0, limit - self.in_flight)
 
@@ -70,6 +80,11 @@
         """Return whether a request may be sent to the server now."""
         return self.health.accepts(idempotent) and self.count_free_slots() > 0
 
+    def take_slot(self):
+        """Count a request that is sent to the server."""
+        self.in_flight += 1
+        self.rate_limit.take(self._clock())
+
     def compute_utilization(self):
         """Return the share of the lower of the two limits that is in use."""
         limit = min(int(self.adaptive_limit), self.health.get_state_limit())
--- a/kumquatsaddle/dispatch/tests/dispatcher.feature
+++ b/kumquatsaddle/dispatch/tests/dispatcher.feature
@@ -66,3 +66,9 @@
     # longer the home of the servers.
     Given 1 scripted servers on loopback
     Then a waiter is refused with reason no_backend when the home moves away
+
+  Scenario: A home sends no more to a server than the rate that it states
+    # Guards against orders that a server in trouble gets beyond the rate that it accepts.
+    Given 1 scripted servers on loopback
+    Then requests beyond the rate that the server states are refused at once
+    And they are sent again once it states no rate
--- a/kumquatsaddle/dispatch/tests/steps/dispatcher.py
+++ b/kumquatsaddle/dispatch/tests/steps/dispatcher.py
@@ -354,3 +354,38 @@
     # Requests that were already in flight are answered.
     assert answers["/0"].body == b"/0" and answers["/1"].body == b"/1"
     assert (await harness.send("/x")).reason is RefusalReason.NO_BACKEND
+
+
+@then_with_harness(
+    "requests beyond the rate that the server states are refused at once"
+)
+async def check_rate(harness):
+    harness.servers.rate_limit = b"0.5"
+    assert (await harness.send("/first", False)).status == 200
+    answers = []
+
+    async def send(target):
+        answers.append(await harness.send(target, False))
+
+    async with trio.open_nursery() as nursery:
+        for number in range(9):
+            nursery.start_soon(send, f"/{number}")
+        await harness.settle()
+        assert harness.servers.reached == ["/first"], harness.servers.reached
+        # At most 10 s * 0.5 / s of them can start in time.
+        assert len(answers) >= 4, answers
+        for answer in answers:
+            assert answer.outcome is Outcome.NOT_RUN
+            assert answer.reason is RefusalReason.BACKEND_LIMIT
+            assert answer.retry_after >= 1.0
+        nursery.cancel_scope.cancel()
+
+
+@then_with_harness("they are sent again once it states no rate")
+async def check_rate_ended(harness):
+    harness.servers.rate_limit = b"0.5"
+    await harness.send("/first", False)
+    harness.servers.rate_limit = None
+    harness.clock.jump(2.5)
+    for target in ("/second", "/third", "/fourth"):
+        assert (await harness.send(target, False)).status == 200
--- a/kumquatsaddle/entry/answers.py
+++ b/kumquatsaddle/entry/answers.py
@@ -17,6 +17,7 @@
 _OUTCOME_HEADER = b"Kumquatsaddle-Outcome"
 _REASON_HEADER = b"Kumquatsaddle-Reason"
 _OPERATION_HEADER = b"Kumquatsaddle-Operation"
+_RETRY_AFTER_HEADER = b"Retry-After"
 # Headers of a backend server that are not passed on: this module sets the framing, and
 # a backend server must not forge an outcome.
 _DROPPED_HEADERS = frozenset(
@@ -104,6 +105,8 @@
         header_lines.append(
             b"%b: %b\r\n" % (_OPERATION_HEADER, answer.operation.encode())
         )
+    if answer.retry_after is not None:
+        header_lines.append(b"%b: %.1f\r\n" % (_RETRY_AFTER_HEADER, answer.retry_after))
     if close:
         header_lines.append(b"Connection: close\r\n")
     headers = b"".join(header_lines)
--- a/kumquatsaddle/entry/routed.py
+++ b/kumquatsaddle/entry/routed.py
@@ -4,7 +4,7 @@
 backend server for it.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import trio
 
@@ -23,8 +23,7 @@
 _DEADLINE_MARGIN_SECONDS = 0.03
 # Bounds the cost of int() on a header value.
 _MAX_TIMEOUT_DIGITS = 9
-_RETRY_AFTER_HEADER = b"Retry-After"
-# Value of the header Retry-After of a refusal, by its reason.
+# Retry-After of a refusal that names no time itself, by its reason.
 _RETRY_AFTER_SECONDS = {
     RefusalReason.NOT_READY: 1.0,
     RefusalReason.NO_BACKEND: 0.5,
@@ -169,17 +168,10 @@
         headers = list(answer.headers)
         if request_id:
             headers.append((self._protocol.request_id, request_id))
-        if answer.outcome is Outcome.NOT_RUN and answer.reason in _RETRY_AFTER_SECONDS:
-            seconds = _RETRY_AFTER_SECONDS[answer.reason]
-            headers.append((_RETRY_AFTER_HEADER, b"%.1f" % seconds))
-        return Answer(
-            answer.outcome,
-            answer.status,
-            tuple(headers),
-            answer.body,
-            answer.reason,
-            answer.operation,
-        )
+        seconds = answer.retry_after
+        if answer.outcome is Outcome.NOT_RUN and seconds is None:
+            seconds = _RETRY_AFTER_SECONDS.get(answer.reason)
+        return replace(answer, headers=tuple(headers), retry_after=seconds)
 
 
 def make_routed_proxy(
--- a/kumquatsaddle/exceptions.py
+++ b/kumquatsaddle/exceptions.py
@@ -123,16 +123,27 @@
     ----------
     reason : RefusalReason
         The reason, also the label of the counter.
+    detail : str, optional
+    retry_after : float, optional
+        Time in seconds after which a retry can succeed, if it is known.
     """
 
     exit_code = 7
 
-    def __init__(self, reason: RefusalReason, detail=""):
+    def __init__(self, reason: RefusalReason, detail="", retry_after=None):
         self.reason = reason
         self.detail = detail
+        self.retry_after = retry_after
         super().__init__(f"{reason.value}: {detail}" if detail else reason.value)
 
 
+class RateLimitedError(RefusedError):
+    """The rate limits of the backend servers leave no room for a request in time."""
+
+    def __init__(self, retry_after, detail=""):
+        super().__init__(RefusalReason.BACKEND_LIMIT, detail, retry_after)
+
+
 class OutcomeUnknownError(KumquatsaddleError):
     """A request may have run; its answer is lost.
 
--- a/kumquatsaddle/exchange.py
+++ b/kumquatsaddle/exchange.py
@@ -101,6 +101,8 @@
     body : bytes
     reason : RefusalReason or None
     operation : OperationId
+    retry_after : float or None
+        Time in seconds after which a retry can succeed, if it is known.
     """
 
     outcome: Outcome
@@ -109,13 +111,14 @@
     body: bytes = b""
     reason: RefusalReason | None = None
     operation: OperationId = OperationId("")
+    retry_after: float | None = None
 
     @classmethod
-    def from_reason(cls, reason, operation=OperationId("")):
+    def from_reason(cls, reason, operation=OperationId(""), retry_after=None):
         """Return the answer for `reason`: UNKNOWN or NOT_RUN, see `UNKNOWN_REASONS`."""
         outcome = Outcome.UNKNOWN if reason in UNKNOWN_REASONS else Outcome.NOT_RUN
         status = _STATUS_OF_REASON.get(reason, _DEFAULT_STATUS)
-        return cls(outcome, status, (), b"", reason, operation)
+        return cls(outcome, status, (), b"", reason, operation, retry_after)
 
     @classmethod
     def unknown(cls, reason, operation=OperationId("")):
--- a/kumquatsaddle/sharing/exchange.py
+++ b/kumquatsaddle/sharing/exchange.py
@@ -11,8 +11,10 @@
 import trio
 
 from kumquatsaddle.balance.beliefs import Observation
+from kumquatsaddle.balance.limit_shares import LimitShares
 from kumquatsaddle.exceptions import MessageError
 from kumquatsaddle.sharing.fetches import fetch_update, serve_fetch
+from kumquatsaddle.sharing.limits import SharedLimits
 from kumquatsaddle.sharing.loads import OwnLoads, RemoteLoads
 from kumquatsaddle.sharing.messages import (
     Fetch,
@@ -80,7 +82,12 @@
         self._remote_loads = RemoteLoads(dispatcher)
         self._own_loads = OwnLoads(dispatcher)
         dispatcher.on_load_changed = self._on_load
+        self._limits = SharedLimits(dispatcher)
+        self._limit_shares = LimitShares(peers.own)
+        self._attended_zones = frozenset()
         dispatcher.on_answer = self._on_answer
+        dispatcher.on_limit_changed = self._on_limit_changed
+        dispatcher.compute_limit_share = self._limit_shares.compute_share
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
         """Send reports and serve peers until cancelled."""
@@ -106,8 +113,7 @@
 
     def introduce(self, addresses):
         """Send a report that asks for a reply to instances not heard from yet."""
-        loads = self._own_loads.list_all_used()
-        data = encode_report(self._make_report(loads, wants_reply=True))
+        data = encode_report(self._make_first_report(wants_reply=True))
         for address in addresses:
             self._send(data, address)
 
@@ -147,6 +153,18 @@
             self._pending_scope = Scope.CLOSE
         self._changed.set()
 
+    def _on_limit_changed(self, server):
+        self._limits.track(server)
+        if server.rate_limit.is_first_hand:
+            if self._pending_scope is Scope.DUE:
+                self._pending_scope = Scope.CLOSE
+            self._changed.set()
+
+    def _update_limit_shares(self, active):
+        names = [record.name for record in active]
+        if self._limit_shares.update(names, self._attended_zones):
+            self._dispatcher.update_limit_shares()
+
     def _add_observations(self, server, observation, number=1):
         self._zone_totals.add(server, observation, number)
         if self._zone_totals.failed:
@@ -154,7 +172,9 @@
 
     async def _send_reports(self):
         while True:
-            self._schedule.update(self._node.list_active(), self._node.get_read_age())
+            active = self._node.list_active()
+            self._schedule.update(active, self._node.get_read_age())
+            self._update_limit_shares(active)
             due = self._last_round_at + self._schedule.get_round_interval()
             with trio.move_on_at(min([due, *self._survival_reports_due.values()])):
                 await self._changed.wait()
@@ -173,6 +193,7 @@
             if now >= due:
                 self._last_round_at = now
                 self._update_unattended_zones(now)
+                self._limits.forget_untold()
             self._send_report(scope)
 
     def _queue_due_survival_reports(self, now):
@@ -225,7 +246,8 @@
         )
         if failed:
             loads = [load for load in loads if load.server in failed]
-        report = self._make_report(loads, summary=True, partial=bool(failed))
+        limits = () if failed else self._limits.list_all(self.peers.own.zone)
+        report = self._make_report(loads, limits, summary=True, partial=bool(failed))
         data = encode_report(report)
         for record in choose_recipients(self.peers, self._zone_summaries, bool(failed)):
             self._send(data, record.control)
@@ -246,11 +268,17 @@
         if lost and self.peers.is_leader():
             scope = Scope.ALL
         changes, encoded = self._own_loads.pop_changes(), {}
+        changed_limits = self._limits.pop_changes()
         for peer, interval, is_due in self._schedule.list_recipients(now, scope):
             variant = interval, is_due
             if variant not in encoded:
-                loads = self._own_loads.list_recent() if is_due else changes
-                report = self._make_report(loads, interval=interval, partial=not is_due)
+                loads, limits = changes, changed_limits
+                if is_due:
+                    loads = self._own_loads.list_recent()
+                    limits = self._limits.list_first_hand()
+                report = self._make_report(
+                    loads, limits, interval=interval, partial=not is_due
+                )
                 encoded[variant] = encode_report(report)
             self._send(encoded[variant], peer.record.control)
 
@@ -265,12 +293,14 @@
         return tuple(self._silent_since)
 
     def _update_unattended_zones(self, now):
-        """Set the zones that have servers but no live instance at the dispatcher."""
+        """Find the zones that have no live instance."""
         zones = {server.record.zone for server in self._dispatcher.list_servers()}
         zones.discard(self.peers.own.zone)
-        self._dispatcher.set_unattended(
-            self._zone_summaries.list_unattended(zones, now)
-        )
+        unattended = self._zone_summaries.list_unattended(zones, now)
+        self._dispatcher.set_unattended(unattended)
+        # Zones with instances but without a server have a share of the limits.
+        zones |= set(self.peers.group_other_zones())
+        self._attended_zones = zones - self._zone_summaries.list_unattended(zones, now)
 
     def _send(self, data, address):
         # A trio socket would pass through the scheduler for each datagram.
@@ -280,9 +310,15 @@
             # The buffer is full or there is no route; the next report makes up for it.
             self._metrics.count("reports_unsent", error=type(error).__name__)
 
+    def _make_first_report(self, wants_reply=False):
+        """Return a report for an instance that knows nothing of this one yet."""
+        loads, limits = self._own_loads.list_all_used(), self._limits.list_all()
+        return self._make_report(loads, limits, wants_reply=wants_reply)
+
     def _make_report(
         self,
         loads,
+        limits=(),
         wants_reply=False,
         summary=False,
         partial=False,
@@ -305,6 +341,7 @@
             capacity=self._node.capacity,
             interval=interval,
             silent=self._list_recently_silent(),
+            limits=limits,
         )
 
     async def _receive(self):
@@ -338,12 +375,12 @@
             # The totals of the other servers are not known yet; a full report follows.
             return
         if is_first or report.wants_reply:
-            reply = encode_report(self._make_report(self._own_loads.list_all_used()))
-            self._send(reply, report.sender.control)
+            self._send(encode_report(self._make_first_report()), report.sender.control)
         if is_first:
             # The first totals are the baseline; older observations are no evidence of
             # the current state.
             peer.counts = {load.server: load.counts for load in report.loads}
+        self._limits.apply(report.limits)
         for server, observation, number in self._remote_loads.apply(
             peer.record.name, peer.counts, report, now
         ):
@@ -361,6 +398,7 @@
             scope = Scope.CLOSE if report.partial else Scope.ALL
             for peer in self._schedule.list_in_scope(scope):
                 self._send(data, peer.record.control)
+        self._limits.apply(report.limits)
         self._remote_loads.apply(
             _zone_key(zone), self._zone_summaries.get_counts(zone), report, now
         )
--- /dev/null
+++ b/kumquatsaddle/sharing/limits.py
@@ -0,0 +1,131 @@
+"""Rate limits of backend servers as instances tell them to each other.
+
+An instance tells its peers of the limits that it learnt from answers itself. What it
+learnt from others it tells only to an instance that has just started and, as zone
+leader, to other zones, so that a statement never returns to where it came from.
+"""
+
+import trio
+
+from kumquatsaddle.sharing.messages import StatedLimit
+
+__all__ = ["SharedLimits"]
+
+# A limit that no instance has told for this time is forgotten: it may have ended while
+# this instance was cut off.
+_FORGET_AFTER_SECONDS = 30.0
+# How long the end of a limit is told.
+_ENDED_TOLD_SECONDS = 10.0
+# Limits in one datagram; the rest follow with the next answers that state them.
+_MAX_LIMITS = 200
+
+
+class SharedLimits:
+    """The limits that one instance tells.
+
+    Parameters
+    ----------
+    dispatcher : BalancedDispatcher
+    """
+
+    def __init__(self, dispatcher):
+        self._dispatcher = dispatcher
+        self._changed = set()
+        # When the limit ended, or None while it is in force, by server name.
+        self._ended_at = {}
+        # When another instance told of a limit last, by server name.
+        self._told_at = {}
+
+    def track(self, server):
+        """Note that the limit of a server has changed.
+
+        Parameters
+        ----------
+        server : BalancedServer
+        """
+        limit = server.rate_limit
+        self._ended_at[server.name] = (
+            None if limit.rate is not None else trio.current_time()
+        )
+        if limit.is_first_hand:
+            self._changed.add(server.name)
+
+    def pop_changes(self):
+        """Return the `StatedLimit` of the limits that changed here; forget them."""
+        changed, self._changed = self._changed, set()
+        return self._make_limits(self._find_servers(changed))
+
+    def list_first_hand(self):
+        """Return the limits that answers to this instance stated."""
+        servers = self._list_tracked()
+        return self._make_limits(
+            server for server in servers if server.rate_limit.is_first_hand
+        )
+
+    def list_all(self, zone=None):
+        """Return all known limits, or those of the servers of a zone."""
+        servers = self._list_tracked()
+        return self._make_limits(
+            server for server in servers if zone in (None, server.record.zone)
+        )
+
+    def apply(self, limits):
+        """Apply the limits of a report, as far as they are newer than the known ones.
+
+        Parameters
+        ----------
+        limits : iterable of StatedLimit
+        """
+        now = trio.current_time()
+        for limit in limits:
+            server = self._dispatcher.find_server(limit.server)
+            if server is None:
+                continue
+            if now - limit.age > server.rate_limit.stated_at:
+                self._dispatcher.state_rate_limit(
+                    server, limit.rate, now - limit.age, is_first_hand=False
+                )
+            if limit.rate is not None:
+                self._told_at[server.name] = now
+
+    def forget_untold(self):
+        """End the limits that no other instance tells and no request here can renew."""
+        now = trio.current_time()
+        for server in self._list_tracked():
+            limit = server.rate_limit
+            told_at = self._told_at.get(server.name, limit.stated_at)
+            is_old = now - told_at > _FORGET_AFTER_SECONDS
+            is_renewed = limit.is_first_hand and limit.has_share
+            if is_old and limit.rate is not None and not is_renewed:
+                self._dispatcher.state_rate_limit(
+                    server, None, limit.stated_at, is_first_hand=False
+                )
+
+    def _list_tracked(self):
+        oldest = trio.current_time() - _ENDED_TOLD_SECONDS
+        self._ended_at = {
+            name: ended_at
+            for name, ended_at in self._ended_at.items()
+            if ended_at is None or ended_at > oldest
+        }
+        self._told_at = {
+            name: told_at
+            for name, told_at in self._told_at.items()
+            if name in self._ended_at
+        }
+        return self._find_servers(self._ended_at)
+
+    def _find_servers(self, names):
+        """Return the servers whose limit is known; a replaced one has stated none."""
+        servers = [self._dispatcher.find_server(name) for name in names]
+        return [server for server in servers if server and server.rate_limit.is_stated]
+
+    def _make_limits(self, servers):
+        now = trio.current_time()
+        limits = [
+            StatedLimit(
+                server.name, server.rate_limit.rate, now - server.rate_limit.stated_at
+            )
+            for server in servers
+        ]
+        return tuple(limits[:_MAX_LIMITS])
--- a/kumquatsaddle/sharing/messages.py
+++ b/kumquatsaddle/sharing/messages.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 from functools import lru_cache
+from math import isfinite
 from pathlib import Path
 from typing import NamedTuple
 
@@ -19,6 +20,7 @@
     "Fetch",
     "Report",
     "ServerLoad",
+    "StatedLimit",
     "Update",
     "decode_fetch",
     "decode_report",
@@ -32,7 +34,9 @@
 _schema = capnp.load(str(Path(__file__).with_name("reports.capnp")))
 _WORD_BYTES = 8
 # Ages are capped so that they fit into the field of the message.
-_MAX_READ_AGE_SECONDS = 1e6
+_MAX_AGE_SECONDS = 1e6
+# Rate of a limit that has ended.
+_NO_RATE = -1.0
 # Cached because each report repeats two addresses, and parsing them costs more than
 # decoding the rest.
 _parse_address = lru_cache(maxsize=4096)(parse_address)
@@ -68,6 +72,23 @@
     past_fast_failure: int = 0
 
 
+class StatedLimit(NamedTuple):
+    """The rate limit that a backend server stated in an answer.
+
+    Parameters
+    ----------
+    server : BackendId
+    rate : float or None
+        In requests a second; None if the answer stated none.
+    age : float
+        Time since the answer arrived, in seconds.
+    """
+
+    server: BackendId
+    rate: float | None
+    age: float
+
+
 @dataclass(frozen=True, slots=True)
 class Report:
     """The content of a datagram; see `reports.capnp`.
@@ -91,6 +112,7 @@
     capacity: float = 0.0
     interval: float = 0.0
     silent: tuple[InstanceId, ...] = ()
+    limits: tuple[StatedLimit, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -150,7 +172,7 @@
     message.serving, message.leaving = report.serving, report.leaving
     message.routesVersion = report.routes_version
     message.serversVersion = report.servers_version
-    message.readAgeMs = int(min(report.read_age, _MAX_READ_AGE_SECONDS) * 1000)
+    message.readAgeMs = int(min(report.read_age, _MAX_AGE_SECONDS) * 1000)
     message.wantsReply = report.wants_reply
     message.summary, message.partial = report.summary, report.partial
     message.capacity = report.capacity
@@ -162,6 +184,8 @@
     message.numbers = numbers
     if report.silent:
         message.silent = list(report.silent)
+    if report.limits:
+        _write_limits(message, report.limits)
     return message.to_bytes()
 
 
@@ -228,6 +252,14 @@
         raise MessageError(f"{MessageRejection.MALFORMED.value}: {error}") from None
 
 
+def _write_limits(message, limits):
+    targets = message.init("limits", len(limits))
+    for target, limit in zip(targets, limits, strict=True):
+        target.server = limit.server
+        target.rate = _NO_RATE if limit.rate is None else limit.rate
+        target.ageMs = int(min(limit.age, _MAX_AGE_SECONDS) * 1000)
+
+
 def _convert_report(message):
     return Report(
         sender=InstanceRecord(
@@ -250,9 +282,18 @@
         capacity=message.capacity,
         interval=message.intervalMs / 1000,
         silent=tuple(InstanceId(name) for name in message.silent),
+        limits=tuple(_convert_limit(item) for item in message.limits),
     )
 
 
+def _convert_limit(message):
+    """Return a limit; raise `ValueError` if its rate is no number."""
+    if not isfinite(message.rate):
+        raise ValueError(f"rate of {message.server} is {message.rate}")
+    rate = message.rate if message.rate >= 0 else None
+    return StatedLimit(BackendId(message.server), rate, message.ageMs / 1000)
+
+
 def _convert_loads(message):
     """Return the loads of a report; raise `ValueError` if its columns do not match."""
     numbers = iter(message.numbers)
--- a/kumquatsaddle/sharing/reports.capnp
+++ b/kumquatsaddle/sharing/reports.capnp
@@ -29,6 +29,13 @@
   # failure takes.
   numbers @17 :List(UInt32);
   silent @18 :List(Text);    # peers that became silent recently; set by the zone leader
+  limits @19 :List(RateLimit); # rate limits that servers state or have ended
+}
+
+struct RateLimit {
+  server @0 :Text;
+  rate @1 :Float64;          # requests a second; negative if the server states none now
+  ageMs @2 :UInt32;          # time since the answer that stated it
 }
 
 # A frame: requests what changed after the two given store versions.
--- a/kumquatsaddle/sharing/tests/steps/limited_fleet.py
+++ b/kumquatsaddle/sharing/tests/steps/limited_fleet.py
@@ -43,14 +43,19 @@
             name, 1, SERVICE, Address("127.0.0.1", port), zone, SLOTS, False
         )
         self.rate = None
+        # When it first stated a rate, and the highest rate since then.
         self.rate_named_at = None
+        self.highest_rate = 0.0
         # Times of arrival and the names of the instances.
         self.arrivals = []
 
     def name_rate(self, rate):
         """State a rate from now on; None ends the limit."""
         self.rate = rate
-        self.rate_named_at = trio.current_time()
+        if rate is None:
+            self.rate_named_at = None
+        elif self.rate_named_at is None or rate < self.highest_rate:
+            self.rate_named_at, self.highest_rate = trio.current_time(), rate
 
 
 class _SimulatedConnection:
@@ -122,6 +127,10 @@
                 nursery.start_soon(self.exchange._send_reports)
                 nursery.start_soon(self.exchange._send_summaries)
 
+    def reset(self):
+        """Forget everything, as a new process does."""
+        self.__init__(self.fleet, self.record)
+
     def kill(self):
         self.alive = False
         self.scope.cancel()
@@ -174,6 +183,11 @@
             await self.start_instance(instance)
         await trio.sleep(_SETTLE_SECONDS)
 
+    async def restart_instance(self, instance):
+        """Start a killed instance as a new process."""
+        instance.reset()
+        await self.start_instance(instance)
+
     async def start_instance(self, instance):
         """Start one instance that knows all others and all servers."""
         records = {server.record.name: server for server in self.servers}
@@ -188,21 +202,28 @@
         peers = instance.peers.peers.values()
         instance.exchange.introduce([peer.record.control for peer in peers])
 
-    async def send_load(self, rate, seconds):
-        """Send requests at random times to random active instances."""
+    async def send_load(self, rate, seconds, without=None):
+        """Send requests at random times to random active instances.
+
+        None go to the instance `without`.
+        """
         until = trio.current_time() + seconds
         while True:
             await trio.sleep(self.random.expovariate(rate))
             if trio.current_time() >= until:
                 return
-            self.nursery.start_soon(self._send_request, self._choose_instance())
+            instance = self._choose_instance()
+            if instance is not without:
+                self.nursery.start_soon(self._send_request, instance)
 
     def _choose_instance(self):
         zone = self.random.choice(sorted({item.record.zone for item in self.instances}))
         alive = [
             item for item in self.instances if item.record.zone == zone and item.alive
         ]
-        active = {record.name for record in alive[0].list_active()}
+        if not alive:
+            return self._choose_instance()
+        active = {record.name for record in alive[-1].list_active()}
         return self.random.choice(
             [item for item in alive if item.record.name in active or item.is_cut]
         )
--- a/kumquatsaddle/types.py
+++ b/kumquatsaddle/types.py
@@ -87,6 +87,7 @@
     DEADLINE = "deadline"
     NO_BACKEND = "no_backend"
     BACKEND_SHED = "backend_shed"
+    BACKEND_LIMIT = "backend_limit"
     BACKEND_UNREACHABLE = "backend_unreachable"
     PEER_UNREACHABLE = "peer_unreachable"
     CLAIM_LIMIT = "claim_limit"
