Close a connection after a refusal without a request id

Callers could be told "not run" of an order that a server ran, and the order could run at a second server: a faulty server that repeats an earlier refusal on a kept connection answers the next request with it. An answer with the id of another request is skipped, but a refusal without an id passed for the answer to the request in flight, as long as no answer on the connection had an id. Such a connection now carries no further request.

The status 421 is treated in the same way; no test plays that one.

--- a/kumquatsaddle/balance/dispatcher.py
+++ b/kumquatsaddle/balance/dispatcher.py
@@ -14,6 +14,7 @@
 from kumquatsaddle.balance.budget import RetryLimits
 from kumquatsaddle.balance.pool import BalancedPool
 from kumquatsaddle.dispatch.connections import AnswerMemory, ExchangeError
+from kumquatsaddle.dispatch.protocol import MISDIRECTED_STATUS
 from kumquatsaddle.dispatch.rate_limits import WHOLE_RATE, read_rate
 from kumquatsaddle.dispatch.retries import choose_answer
 from kumquatsaddle.exceptions import RateLimitedError
@@ -29,7 +30,6 @@
 _MIN_REMAINING_SHARE = 0.8
 # Time for which a server that shed a request gets no other one.
 _SHED_PAUSE_SECONDS = 0.15
-_MISDIRECTED = 421
 _GATEWAY_TIMEOUT = 504
 # A 504 received less than this before the deadline counts as caused by the deadline.
 _DEADLINE_MARGIN_SECONDS = 0.1
@@ -346,7 +346,7 @@
 
     def _read_answer(self, request, raw):
         protocol = self.protocol
-        if raw.status == _MISDIRECTED:
+        if raw.status == MISDIRECTED_STATUS:
             refusal = Answer.from_reason(RefusalReason.BACKEND_UNREACHABLE)
             return AttemptResult(AttemptOutcome.MISDIRECTED, refusal)
         if protocol.unprocessed and raw.get_header(protocol.unprocessed) is not None:
--- a/kumquatsaddle/balance/tests/dispatcher.feature
+++ b/kumquatsaddle/balance/tests/dispatcher.feature
@@ -17,6 +17,10 @@
     Then for any script of answers an idempotent request runs on two servers at most
     And a service whose retry budget is empty sends no retry
 
+  Scenario: A late copy of a refusal ends no other request
+    # Guards against orders reported as not run, or run again, because a server repeats an earlier refusal.
+    Then for any repeated refusals an order runs at most once and "not run" is true
+
   Scenario: A repeatable request relies on a retry only if the budget has room for it
     # Guards against requests lost at a doubtful server because their retry is denied.
     Given a server whose slots are taken and one that failed fast
--- a/kumquatsaddle/balance/tests/steps/dispatcher.py
+++ b/kumquatsaddle/balance/tests/steps/dispatcher.py
@@ -433,3 +433,19 @@
 @then("it waits for the other one if the budget allows none")
 def check_not_tried(context):
     assert not send_briefly(context.start, share=0.0, allowance=0.0)
+
+
+@then('for any repeated refusals an order runs at most once and "not run" is true')
+def check_repeated_refusals(context):
+    actions = st.sampled_from([("refuse_again", 0), ("refuse", 0), ("whole", 0)])
+
+    @settings(max_examples=EXAMPLES)
+    @for_all(st.lists(actions, max_size=10))
+    def check(script):
+        servers, answers = trio.run(lambda: run_script(script, False, 6, share=9.0))
+        for number, answer in enumerate(answers):
+            runs = servers.reached.count(f"/{number}")
+            assert runs <= 1, (number, runs)
+            assert not (runs and answer.outcome is Outcome.NOT_RUN), answer
+
+    check()
--- a/kumquatsaddle/dispatch/connections.py
+++ b/kumquatsaddle/dispatch/connections.py
@@ -14,7 +14,7 @@
 import h11
 import trio
 
-from kumquatsaddle.dispatch.protocol import DEFAULT_PROTOCOL
+from kumquatsaddle.dispatch.protocol import DEFAULT_PROTOCOL, MISDIRECTED_STATUS
 from kumquatsaddle.exceptions import KumquatsaddleError
 from kumquatsaddle.types import RefusalReason
 
@@ -156,6 +156,7 @@
         self._answered = False
         self._echoes_request_id = False
         self._has_unsent_bytes = False
+        self._may_repeat_refusal = False
         self._memory = None
         self.keep_alive = None
         self.exchange_count = 0
@@ -168,6 +169,8 @@
         """
         if self._parser.our_state is not h11.IDLE or self._has_unsent_bytes:
             return False
+        if self._may_repeat_refusal:
+            return False
         if self._parser.trailing_data[0]:
             return False
         return not self._stream.socket.is_readable()
@@ -225,6 +228,8 @@
                 raise self._make_error(RefusalReason.ANSWER_LOST, error) from None
             raise self._make_error(RefusalReason.ANSWER_TRUNCATED, error) from None
         self.exchange_count += 1
+        # A late copy of it would pass for the refusal of a request that runs.
+        self._may_repeat_refusal = self._is_unidentified_refusal(answer)
         self._start_next_cycle()
         return answer
 
@@ -398,6 +403,16 @@
         self._echoes_request_id = True
         return True
 
+    def _is_unidentified_refusal(self, answer):
+        protocol = self._protocol
+        if answer.get_header(protocol.request_id) is not None:
+            return False
+        if answer.status == MISDIRECTED_STATUS:
+            return True
+        return bool(
+            protocol.unprocessed and answer.get_header(protocol.unprocessed) is not None
+        )
+
     def _make_error(self, reason, detail):
         return ExchangeError(reason, True, detail, self._answered)
 
--- a/kumquatsaddle/dispatch/protocol.py
+++ b/kumquatsaddle/dispatch/protocol.py
@@ -2,7 +2,10 @@
 
 from dataclasses import dataclass
 
-__all__ = ["DEFAULT_PROTOCOL", "BackendProtocol"]
+__all__ = ["DEFAULT_PROTOCOL", "MISDIRECTED_STATUS", "BackendProtocol"]
+
+# Status of a server at an address that was meant for another one.
+MISDIRECTED_STATUS = 421
 
 
 @dataclass(frozen=True, slots=True)
--- a/kumquatsaddle/dispatch/tests/steps/dispatcher.py
+++ b/kumquatsaddle/dispatch/tests/steps/dispatcher.py
@@ -17,8 +17,8 @@
 TIMEOUT_SECONDS = 10.0
 # Servers echo request ids, so that an answer to another request is detected even if it
 # arrives just after the connection was checked.
-FAULTS = ("whole chunked failed refuse cut close early surplus stray endless "
-          "late head").split()  # fmt: skip
+FAULTS = ("whole chunked failed refuse refuse_again cut close early surplus stray "
+          "endless late head").split()  # fmt: skip
 
 
 AFTER_TAKEOVER_SECONDS = 3.0
--- a/kumquatsaddle/testing/backends.py
+++ b/kumquatsaddle/testing/backends.py
@@ -27,6 +27,8 @@
     - ``head``: an informational answer (status 103) before the complete one;
     - ``failed``, ``misdirected``: a complete answer with status 500 or 421;
     - ``refuse``: status 503, marked as unprocessed;
+    - ``refuse_again``: the same, and a second copy of it when the next request on the
+      connection has arrived, before the answer to that one;
     - ``cut``: only the first `number` bytes of an answer, modulo its length;
     - ``close``: closes the connection without an answer;
     - ``early``: closes the connection before it reads the request;
@@ -103,9 +105,11 @@
             line for line in head.split(b"\r\n") if b"-request:" in line.lower()
         ]
         kind, number = self._next_action()
-        if kind == "refuse":
+        if kind in ("refuse", "refuse_again"):
             self.refused.append(target.decode())
-            await stream.send_all(_REFUSAL)
+            await stream.send_all(self._late_copies.pop(stream, b"") + _REFUSAL)
+            if kind == "refuse_again":
+                self._late_copies[stream] = _REFUSAL
             return True
         self.reached.append(target.decode())
         return await self._send_answer(
