Start no request that a planned stop would have to cut off

In a planned stop in calm, a request whose bytes arrived late in the grace, or that left the queue then, was passed on and cut off with no answer when the process ended, also one that must not be repeated. From the middle of the grace on, both dispatchers refuse what waits and what comes as not run (reason "stopping"), with the connection closed and a time to come back; other instances serve it. What was started before may end in the rest.

Evidence: the new scenario on an instance with the platform's stand-in got a closed connection and no answer before (no reserved time), and gets a 503 now. Not covered: a request that a server works on for longer than the rest of the grace is still cut off.

--- a/deploy/tests/instance.feature
+++ b/deploy/tests/instance.feature
@@ -32,3 +32,9 @@
     When the instance is stopped while a request runs
     Then the request is answered by the server
     And the instance ends
+
+  Scenario: A stop passes on no request that it would have to cut off
+    # Guards against orders without an answer that arrive late in the grace of a planned stop.
+    Given a platform with a server and an instance
+    When the server is slow and a request arrives slowly while the instance stops
+    Then it is refused as not run and told to come back, and no server gets it
--- a/deploy/tests/steps/instance.py
+++ b/deploy/tests/steps/instance.py
@@ -136,3 +136,31 @@
             await context.harness.stopped.wait()
 
     context.loop.run(wait)
+
+
+@when("the server is slow and a request arrives slowly while the instance stops")
+def send_slowly(context):
+    context.harness.server.delay_seconds = 8.0
+    head = f"POST {ROUTED_TARGET} HTTP/1.1\r\nHost: shop.example\r\n".encode()
+    rest = b"X-Request-Id: id-1\r\nContent-Length: 4\r\n\r\nbody"
+
+    async def run():
+        address = context.harness.node.settings.get("listen", "callers")
+        async with await trio.open_tcp_stream(*address) as stream:
+            await stream.send_all(head)
+            await trio.sleep(0.1)
+            context.harness.application.stop()
+            # The notice and more than half of the grace.
+            await trio.sleep(2.0)
+            await stream.send_all(rest)
+            context.received = b"".join([part async for part in stream])
+
+    context.loop.run(run)
+
+
+@then("it is refused as not run and told to come back, and no server gets it")
+def check_refused_in_stop(context):
+    head = context.received.lower()
+    assert head.startswith(b"http/1.1 503 "), context.received
+    assert b"\r\nretry-after: " in head and b"\r\nconnection: close\r\n" in head
+    assert not context.harness.server.received
--- a/kumquatsaddle/balance/dispatcher.py
+++ b/kumquatsaddle/balance/dispatcher.py
@@ -122,6 +122,7 @@
         self.compute_limit_share = lambda server, supplied_zones: WHOLE_RATE
         self._zone = zone
         self._unattended = frozenset()
+        self._starts = True
 
     async def update_servers(self, records):
         """Replace the list of backend servers and close those no longer in it.
@@ -222,7 +223,7 @@
                 )
                 break
             if server is None:
-                answer = answer or Answer.from_reason(RefusalReason.NO_BACKEND)
+                answer = answer or Answer.from_reason(self._get_missing_reason())
                 break
             if outcome is not None:
                 self.metrics.count_retry(_RETRY_REASONS[outcome])
@@ -237,6 +238,16 @@
         self._log_request(request, pool, attempt_summaries, answer)
         return answer
 
+    def stop_starting(self):
+        """Refuse the requests that wait and all that come; others may end."""
+        self._starts = False
+        for pool in self.pools.values():
+            pool.refuse_waiting()
+
+    def _get_missing_reason(self):
+        """Return why a request that was not sent got no server."""
+        return RefusalReason.NO_BACKEND if self._starts else RefusalReason.STOPPING
+
     def _get_or_create_pool(self, service):
         pool = self.pools.get(service)
         if pool is None:
@@ -269,6 +280,8 @@
         return False
 
     async def _acquire_server(self, pool, request, excluded):
+        if not self._starts:
+            return None
         expected = self.averages.estimate_seconds(request.route)
         until = request.deadline - _MIN_REMAINING_SHARE * expected
         return await pool.acquire_server(request, excluded, until)
--- a/kumquatsaddle/balance/pool.py
+++ b/kumquatsaddle/balance/pool.py
@@ -194,6 +194,12 @@
         if self._waiters:
             self._refuse_limited()
 
+    def refuse_waiting(self):
+        """Let the waiting requests go without a server."""
+        for waiter in self._waiters:
+            waiter.event.set()
+        self._waiters.clear()
+
     def _refuse_limited(self):
         """Refuse the waiting requests that the rate limits do not let start in time."""
         delays = self._iterate_delays()
--- a/kumquatsaddle/balance/tests/dispatcher.feature
+++ b/kumquatsaddle/balance/tests/dispatcher.feature
@@ -68,3 +68,10 @@
     # Guards against a limit that no log line shows, so that its cause cannot be found.
     Given a server that states rates and then none
     Then its rate follows the latest answer and each change is logged
+
+  Scenario: An instance that stops starts no request in its last seconds
+    # Guards against requests that leave the queue and are cut off by the end of the process.
+    Given one server with 6 slots that holds its answers
+    When 8 requests are dispatched and the dispatcher stops starting
+    Then the 2 that wait are refused as not run and the others are answered
+    And a new request is refused at once
--- a/kumquatsaddle/balance/tests/steps/dispatcher.py
+++ b/kumquatsaddle/balance/tests/steps/dispatcher.py
@@ -16,7 +16,7 @@
 from kumquatsaddle.settings.parsers import parse_address
 from kumquatsaddle.testing.backends import MAX_ANSWER_BYTES, ScriptedServers
 from kumquatsaddle.testing.loops import start_loop
-from kumquatsaddle.types import Outcome, Rank
+from kumquatsaddle.types import Outcome, Rank, RefusalReason
 
 PROTOCOL = BackendProtocol(
     request_id=b"kumquatsaddle-request",
@@ -449,3 +449,39 @@
             assert not (runs and answer.outcome is Outcome.NOT_RUN), answer
 
     check()
+
+
+@when("8 requests are dispatched and the dispatcher stops starting")
+def dispatch_and_stop(context):
+    async def run():
+        for number in range(8):
+            start_dispatch(context, number)
+        await wait_until(lambda: len(context.servers.reached) == 6)
+        await wait_until(lambda: count_waiting(context) == 2)
+        context.dispatcher.stop_starting()
+        await wait_until(lambda: len(context.answers) == 2)
+
+    context.loop.run(run)
+
+
+@then("the 2 that wait are refused as not run and the others are answered")
+def check_stopping(context):
+    for answer in context.answers.values():
+        assert answer.outcome is Outcome.NOT_RUN
+        assert answer.reason is RefusalReason.STOPPING
+
+    async def release():
+        context.servers.release_answer.set()
+        await wait_until(lambda: len(context.answers) == 8)
+
+    context.loop.run(release)
+    assert sum(item.status == 200 for item in context.answers.values()) == 6
+
+
+@then("a new request is refused at once")
+def check_refused_at_once(context):
+    answer = context.loop.run(
+        lambda: context.dispatcher.dispatch(make_request(9, True))
+    )
+    assert answer.reason is RefusalReason.STOPPING
+    assert len(context.servers.reached) == 6
--- a/kumquatsaddle/dispatch/dispatcher.py
+++ b/kumquatsaddle/dispatch/dispatcher.py
@@ -61,6 +61,7 @@
         self.pools = {}
         self._budgets = {}
         self._request_ids = count(1)
+        self._starts = True
 
     async def update_groups(self, services, groups, new=frozenset()):
         """Set the groups whose home is this instance.
@@ -138,6 +139,12 @@
         """Return the `ServiceDigest` of each service at this instance."""
         return [pool.describe() for pool in self.pools.values()]
 
+    def stop_starting(self):
+        """Refuse the requests that wait and all that come; others may end."""
+        self._starts = False
+        for pool in self.pools.values():
+            pool.queue.refuse_all(RefusalReason.STOPPING)
+
     async def close(self):
         """Close all idle connections."""
         # The pools may change while a connection closes.
@@ -154,6 +161,8 @@
             If the service has no server here, or if the request is dropped from the
             queue or cannot start in time.
         """
+        if not self._starts:
+            raise RefusedError(RefusalReason.STOPPING, request.service)
         if not pool.servers:
             raise RefusedError(RefusalReason.NO_BACKEND, request.service)
         waiter = Waiter(request, excluded)
--- a/kumquatsaddle/dispatch/tests/dispatcher.feature
+++ b/kumquatsaddle/dispatch/tests/dispatcher.feature
@@ -72,3 +72,8 @@
     Given 1 scripted servers on loopback
     Then requests beyond the rate that the server states are refused at once
     And they are sent again once it states no rate
+
+  Scenario: A home that stops starts no request in its last seconds
+    # Guards against requests that leave the queue and are cut off by the end of the process.
+    Given 1 scripted servers on loopback
+    Then waiting and new requests are refused once the dispatcher stops starting
--- a/kumquatsaddle/dispatch/tests/steps/dispatcher.py
+++ b/kumquatsaddle/dispatch/tests/steps/dispatcher.py
@@ -389,3 +389,25 @@
     harness.clock.jump(2.5)
     for target in ("/second", "/third", "/fourth"):
         assert (await harness.send(target, False)).status == 200
+
+
+@then_with_harness(
+    "waiting and new requests are refused once the dispatcher stops starting"
+)
+async def check_stopping(harness):
+    harness.servers.default = ("late", 0)
+    answers = []
+
+    async def send(target):
+        answers.append(await harness.send(target))
+
+    async with trio.open_nursery() as nursery:
+        for number in range(SLOTS + 1):
+            nursery.start_soon(send, f"/{number}")
+            await harness.settle()
+        harness.dispatcher.stop_starting()
+        await harness.settle()
+        assert [answer.reason for answer in answers] == [RefusalReason.STOPPING]
+        assert (await harness.send("/new")).reason is RefusalReason.STOPPING
+        harness.servers.release_answer.set()
+    assert sum(answer.status == 200 for answer in answers) == SLOTS
--- a/kumquatsaddle/entry/routed.py
+++ b/kumquatsaddle/entry/routed.py
@@ -26,6 +26,7 @@
 # Retry-After of a refusal that names no time itself, by its reason.
 _RETRY_AFTER_SECONDS = {
     RefusalReason.NOT_READY: 1.0,
+    RefusalReason.STOPPING: 0.1,
     RefusalReason.NO_BACKEND: 0.5,
     RefusalReason.BACKEND_SHED: 0.3,
     RefusalReason.BACKEND_UNREACHABLE: 0.3,
--- a/kumquatsaddle/lifecycle/node.py
+++ b/kumquatsaddle/lifecycle/node.py
@@ -36,7 +36,7 @@
 from kumquatsaddle.lifecycle.pauses import make_pause_detector
 from kumquatsaddle.lifecycle.placement import make_placement_manager
 from kumquatsaddle.lifecycle.servers import start_server
-from kumquatsaddle.lifecycle.stopping import read_stop_times
+from kumquatsaddle.lifecycle.stopping import read_stop_times, stop_starting_in_time
 from kumquatsaddle.logs import log_event, set_log_level
 from kumquatsaddle.membership.exchange import fill_hello, read_members
 from kumquatsaddle.membership.gossip import make_gossip
@@ -253,11 +253,14 @@
         await self.gossip.announce()
         times = read_stop_times(self.settings)
         started_at = trio.current_time()
-        await self.callers.drain(times.notice, times.grace)
-        # Requests of other instances share what is left if the process is killed later.
-        left = max(0.0, started_at + times.notice + times.grace - trio.current_time())
-        is_killed = self.settings.get("stop", "kill_after") > 0
-        await self.control.drain(left if is_killed else times.grace)
+        async with stop_starting_in_time(self.dispatcher, times):
+            await self.callers.drain(times.notice, times.grace)
+            # Requests of other instances share what is left if the process is killed
+            # later.
+            end = started_at + times.notice + times.grace
+            left = max(0.0, end - trio.current_time())
+            is_killed = self.settings.get("stop", "kill_after") > 0
+            await self.control.drain(left if is_killed else times.grace)
         self.gossip.set_own_state(InstanceState.DEAD)
         await self.gossip.announce()
         await self.links.close()
--- a/kumquatsaddle/lifecycle/routed_node.py
+++ b/kumquatsaddle/lifecycle/routed_node.py
@@ -22,7 +22,7 @@
 from kumquatsaddle.lifecycle.application import make_application
 from kumquatsaddle.lifecycle.pauses import make_pause_detector
 from kumquatsaddle.lifecycle.servers import start_server
-from kumquatsaddle.lifecycle.stopping import read_stop_times
+from kumquatsaddle.lifecycle.stopping import read_stop_times, stop_starting_in_time
 from kumquatsaddle.logs import log_event, set_log_level
 from kumquatsaddle.metrics import make_metrics
 from kumquatsaddle.routes.table import WeightedRoundRobin
@@ -219,7 +219,8 @@
         self._leaving = True
         self.exchange.report_now()
         times = read_stop_times(self.settings)
-        await self.callers.drain(times.notice, times.grace)
+        async with stop_starting_in_time(self.dispatcher, times):
+            await self.callers.drain(times.notice, times.grace)
 
     async def _run_exchange(self, address, task_status=trio.TASK_STATUS_IGNORED):
         await self.exchange.run(task_status)
--- a/kumquatsaddle/lifecycle/stopping.py
+++ b/kumquatsaddle/lifecycle/stopping.py
@@ -1,11 +1,18 @@
 """The times of a planned stop."""
 
+from contextlib import asynccontextmanager
 from dataclasses import dataclass
 
-__all__ = ["StopTimes", "read_stop_times"]
+import trio
+
+from kumquatsaddle.logs import log_event
+
+__all__ = ["StopTimes", "read_stop_times", "stop_starting_in_time"]
 
 # Time between the end of the grace and the kill, for the end of the process itself.
 _EXIT_MARGIN_SECONDS = 0.4
+# Share of the grace in which no request is started that might not end in it.
+_RESERVED_SHARE = 0.5
 # Largest share of the time until the kill that is spent as notice.
 _MAX_NOTICE_SHARE = 1 / 3
 
@@ -25,6 +32,11 @@
     notice: float
     grace: float
 
+    @property
+    def last_start(self):
+        """Time after the beginning of the stop until which requests are started."""
+        return self.notice + (1.0 - _RESERVED_SHARE) * self.grace
+
 
 def read_stop_times(settings):
     """Return the times of a planned stop.
@@ -46,3 +58,27 @@
         notice = min(notice, _MAX_NOTICE_SHARE * kill_after)
         grace = max(0.0, min(grace, kill_after - notice - _EXIT_MARGIN_SECONDS))
     return StopTimes(notice, grace)
+
+
+@asynccontextmanager
+async def stop_starting_in_time(dispatcher, times):
+    """Let a dispatcher start no request in the last part of a planned stop.
+
+    Callers try a request that was refused at another instance; one that is cut off by
+    the end of the process may have run.
+
+    Parameters
+    ----------
+    dispatcher : BalancedDispatcher or Dispatcher
+    times : StopTimes
+    """
+
+    async def stop_starting():
+        await trio.sleep(times.last_start)
+        log_event("starts_ended", after=times.last_start)
+        dispatcher.stop_starting()
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(stop_starting)
+        yield
+        nursery.cancel_scope.cancel()
--- a/kumquatsaddle/types.py
+++ b/kumquatsaddle/types.py
@@ -94,6 +94,7 @@
     CLAIM_UNAVAILABLE = "claim_unavailable"
     LEDGER_FULL = "ledger_full"
     NOT_READY = "not_ready"
+    STOPPING = "stopping"
     CALLER_GONE = "caller_gone"
     # Answered UNKNOWN.
     INTERNAL_ERROR = "internal_error"
