Show that an answer that ends inside its head is never passed on

Another operator's callers got a 200 with an empty or short body, framed as whole, after a server stopped in the head and closed. Here the parser reports an end inside a head as an error also where the end of the connection may end a body.

--- a/kumquatsaddle/dispatch/tests/exchange.feature
+++ b/kumquatsaddle/dispatch/tests/exchange.feature
@@ -44,6 +44,11 @@
     Then an unframed answer is whole after an orderly end where the protocol allows it
     And an unframed answer whose connection is reset is an error
 
+  Scenario: A server that stops in the head of its answer gives no answer
+    # Guards against an empty or short body that callers get framed as whole.
+    Then an orderly end inside the head is an error although it may end a body
+    And so is an end inside a body that has a length
+
   Scenario: An answer before the request is read
     # Guards against waiting for a server that answers before it reads the whole
     # request, and against bytes of another request where the server expects the rest of
--- a/kumquatsaddle/dispatch/tests/steps/exchange.py
+++ b/kumquatsaddle/dispatch/tests/steps/exchange.py
@@ -306,6 +306,29 @@
     assert not connection.is_reusable()
 
 
+async def check_cut(data, lengths):
+    for length in lengths:
+        for split in (split_into_bytes(data[:length]), [data[:length]]):
+            try:
+                _, answer = await send_with_id(ScriptedStream(split, ends=True))
+            except ExchangeError as error:
+                assert error.written and error.answered
+            else:
+                raise AssertionError(f"{length} bytes gave {answer.body}")
+
+
+@then_async("an orderly end inside the head is an error although it may end a body")
+async def check_cut_head():
+    for data in (UNFRAMED_ANSWER, MATCHING_ANSWER):
+        await check_cut(data, range(1, data.index(b"\r\n\r\n") + len(b"\r\n\r\n")))
+
+
+@then_async("so is an end inside a body that has a length")
+async def check_cut_body():
+    head_end = MATCHING_ANSWER.index(b"\r\n\r\n") + len(b"\r\n\r\n")
+    await check_cut(MATCHING_ANSWER, range(head_end, len(MATCHING_ANSWER)))
+
+
 @then_async("an unframed answer whose connection is reset is an error")
 async def check_reset():
     try:
