--- a/kumquatsaddle/settings/files.py
+++ b/kumquatsaddle/settings/files.py
@@ -12,7 +12,7 @@
 
 # Kinds of the sections [service:NAME] and so on, which define the initial content of
 # the in-memory platform.
-_SEED_KINDS = ("service", "template", "account", "backend")
+_INITIAL_SECTION_KINDS = ("service", "template", "account", "backend")
 _MIN_SECRET_BYTES = 16
 # Groups of keys of [tls]: all or none of a group must be given.
 _JOINT_TLS_KEYS = (
@@ -28,15 +28,15 @@
     ----------
     values : dict
         ``(section, key)`` to parsed value, defaults included.
-    seeds : dict
+    initial_sections : dict
         ``(kind, name)`` to a dict of text values, for the in-memory platform.
     file : str
         Path of the file, for error messages.
     """
 
-    def __init__(self, values, seeds, file):
+    def __init__(self, values, initial_sections, file):
         self.values = values
-        self.initial_sections = seeds
+        self.initial_sections = initial_sections
         self.file = file
 
     def get(self, section, key):
@@ -62,12 +62,12 @@
     """
     parser = _read_file(file)
     fields = {(field.section, field.key): field for field in known_fields()}
-    values, seeds = {}, {}
+    values, initial_sections = {}, {}
     for section in parser.sections():
         kind, separator, name = section.partition(":")
         if separator:
-            _check_seed(file, section, kind, name)
-            seeds[kind, name] = dict(parser.items(section))
+            _check_initial_section(file, section, kind, name)
+            initial_sections[kind, name] = dict(parser.items(section))
             continue
         for key, text in parser.items(section):
             field = _get_field(fields, file, section, key)
@@ -79,7 +79,7 @@
             raise SettingsError("the key is missing", file, section, key)
         values[section, key] = field.default
     _check_dependent_keys(values, file)
-    return Settings(values, seeds, str(file))
+    return Settings(values, initial_sections, str(file))
 
 
 def read_secret(settings, section, key, path):
@@ -135,9 +135,9 @@
     return parser
 
 
-def _check_seed(file, section, kind, name):
-    if kind not in _SEED_KINDS or not name:
-        known = ", ".join(f"{word}:NAME" for word in _SEED_KINDS)
+def _check_initial_section(file, section, kind, name):
+    if kind not in _INITIAL_SECTION_KINDS or not name:
+        known = ", ".join(f"{word}:NAME" for word in _INITIAL_SECTION_KINDS)
         raise SettingsError(f"unknown section; known: {known}", file, section)
 
 
--- a/kumquatsaddle/sharing/tests/steps/exchange.py
+++ b/kumquatsaddle/sharing/tests/steps/exchange.py
@@ -17,6 +17,7 @@
 from kumquatsaddle.sharing import messages
 from kumquatsaddle.sharing.exchange import make_zone_exchange
 from kumquatsaddle.sharing.peers import PeerTable
+from kumquatsaddle.testing.exchanges import NodeStub
 from kumquatsaddle.testing.loops import start_loop
 
 _subnets = itertools.count(1)
@@ -25,35 +26,6 @@
 _SETTLE_SECONDS = 1.5
 
 
-class NodeStub:
-    """The part of a node that an exchange uses."""
-
-    capacity = 100.0
-
-    def __init__(self, peers):
-        self._peers = peers
-
-    def is_serving(self):
-        return True
-
-    def is_leaving(self):
-        return False
-
-    def routes_version(self):
-        return 1
-
-    servers_version = routes_version
-
-    def get_read_age(self):
-        return 60.0
-
-    def fetch_if_newer(self, peer):
-        pass
-
-    def list_active(self):
-        return self._peers.list_active(True, self.capacity)
-
-
 class Instance:
     """An exchange with its dispatcher; counts the datagrams that it sends."""
 
--- a/kumquatsaddle/sharing/tests/steps/limited_fleet.py
+++ b/kumquatsaddle/sharing/tests/steps/limited_fleet.py
@@ -18,6 +18,7 @@
 from kumquatsaddle.sharing.exchange import make_zone_exchange
 from kumquatsaddle.sharing.messages import decode_report
 from kumquatsaddle.sharing.peers import PeerTable
+from kumquatsaddle.testing.exchanges import NodeStub
 from kumquatsaddle.types import Rank
 
 PROTOCOL = BackendProtocol(
@@ -83,8 +84,6 @@
 class SimulatedInstance:
     """An instance without sockets."""
 
-    capacity = 100.0
-
     def __init__(self, fleet, record):
         self.fleet = fleet
         self.record = record
@@ -93,34 +92,15 @@
         self.dispatcher = make_balanced_dispatcher(
             record.zone, PROTOCOL, self.metrics, 1000
         )
+        self.node = NodeStub(self.peers)
         self.exchange = make_zone_exchange(
-            self.peers, self.dispatcher, self, self.metrics
+            self.peers, self.dispatcher, self.node, self.metrics
         )
         self.exchange._send = self._send
         self.scope = trio.CancelScope()
         self.is_cut = False
         self.alive = True
 
-    def is_serving(self):
-        return True
-
-    def is_leaving(self):
-        return False
-
-    def routes_version(self):
-        return 1
-
-    servers_version = routes_version
-
-    def get_read_age(self):
-        return 60.0
-
-    def fetch_if_newer(self, peer):
-        pass
-
-    def list_active(self):
-        return self.peers.list_active(True, self.capacity)
-
     async def run(self):
         with self.scope:
             async with trio.open_nursery() as nursery:
@@ -223,7 +203,7 @@
         ]
         if not alive:
             return self._choose_instance()
-        active = {record.name for record in alive[-1].list_active()}
+        active = {record.name for record in alive[-1].node.list_active()}
         return self.random.choice(
             [item for item in alive if item.record.name in active or item.is_cut]
         )
