--- a/kumquatsaddle/balance/dispatcher.py
+++ b/kumquatsaddle/balance/dispatcher.py
@@ -5,22 +5,25 @@
 failure. Retries stay within the budget of the service.
 """
 
-from dataclasses import dataclass
-from enum import Enum
-
 import trio
 
+from kumquatsaddle.balance.attempts import (
+    NOT_RUN_OUTCOMES,
+    RETRY_REASONS,
+    AttemptOutcome,
+    AttemptResult,
+    read_answer,
+)
 from kumquatsaddle.balance.averages import RouteAverages
 from kumquatsaddle.balance.budget import RetryLimits
 from kumquatsaddle.balance.pool import BalancedPool
 from kumquatsaddle.dispatch.connections import AnswerMemory, ExchangeError
-from kumquatsaddle.dispatch.protocol import MISDIRECTED_STATUS
 from kumquatsaddle.dispatch.rate_limits import WHOLE_RATE, read_rate
 from kumquatsaddle.dispatch.retries import choose_answer
 from kumquatsaddle.exceptions import RateLimitedError
 from kumquatsaddle.exchange import Answer
 from kumquatsaddle.logs import log_event
-from kumquatsaddle.types import Outcome, RefusalReason, RetryReason
+from kumquatsaddle.types import Outcome, RefusalReason
 
 __all__ = ["BalancedDispatcher", "make_balanced_dispatcher"]
 
@@ -30,54 +33,6 @@
 _MIN_REMAINING_SHARE = 0.8
 # Time for which a server that shed a request gets no other one.
 _SHED_PAUSE_SECONDS = 0.15
-_GATEWAY_TIMEOUT = 504
-# A 504 received less than this before the deadline counts as caused by the deadline.
-_DEADLINE_MARGIN_SECONDS = 0.1
-
-
-class AttemptOutcome(Enum):
-    """How an attempt ended."""
-
-    SERVED = "served"
-    FAILED = "failed"
-    # The server may have run the request, but no valid answer arrived.
-    LOST = "lost"
-    # The server said that it did not run the request.
-    SHED = "shed"
-    # The server at this address is another one (status 421).
-    MISDIRECTED = "misdirected"
-    # No byte of the request was written.
-    UNREACHABLE = "unreachable"
-    # No answer arrived before the deadline, or the request was not written before it.
-    LATE = "late"
-    # The server answered 504 at the deadline that the request header gave.
-    TIMED_OUT = "timed_out"
-
-
-_NOT_RUN = (AttemptOutcome.SHED, AttemptOutcome.MISDIRECTED, AttemptOutcome.UNREACHABLE)
-_RETRY_REASONS = {
-    AttemptOutcome.FAILED: RetryReason.BACKEND_ERROR,
-    AttemptOutcome.LOST: RetryReason.ANSWER_TRUNCATED,
-    AttemptOutcome.SHED: RetryReason.BACKEND_SHED,
-    AttemptOutcome.MISDIRECTED: RetryReason.ANSWER_MISMATCH,
-    AttemptOutcome.UNREACHABLE: RetryReason.CONNECT_FAILED,
-    AttemptOutcome.LATE: RetryReason.ANSWER_LATE,
-    AttemptOutcome.TIMED_OUT: RetryReason.ANSWER_LATE,
-}
-
-
-@dataclass(frozen=True, slots=True)
-class AttemptResult:
-    """Outcome and answer of one attempt.
-
-    Parameters
-    ----------
-    outcome : AttemptOutcome
-    answer : Answer
-    """
-
-    outcome: AttemptOutcome
-    answer: Answer
 
 
 class BalancedDispatcher:
@@ -226,7 +181,7 @@
                 answer = answer or Answer.from_reason(self._get_missing_reason())
                 break
             if outcome is not None:
-                self.metrics.count_retry(_RETRY_REASONS[outcome])
+                self.metrics.count_retry(RETRY_REASONS[outcome])
             attempt = await self._attempt(pool, server, request, attempt_summaries)
             outcome = attempt.outcome
             answer = choose_answer(answer, attempt.answer)
@@ -267,7 +222,7 @@
 
     def _reserve_retry(self, pool, request, outcome):
         """Return whether a request may be retried; count it in the budget if it may."""
-        if outcome not in _NOT_RUN and not request.idempotent:
+        if outcome not in NOT_RUN_OUTCOMES and not request.idempotent:
             return False
         if trio.current_time() + _MIN_ATTEMPT_SECONDS >= request.deadline:
             return False
@@ -276,7 +231,7 @@
             return True
         if pool.budget.try_withdraw():
             return True
-        self.metrics.count("retries_denied", reason=_RETRY_REASONS[outcome].value)
+        self.metrics.count("retries_denied", reason=RETRY_REASONS[outcome].value)
         return False
 
     async def _acquire_server(self, pool, request, excluded):
@@ -355,27 +310,7 @@
             return AttemptResult(AttemptOutcome.LATE, Answer.from_reason(reason))
         rate = read_rate(raw, self.protocol.rate_limit)
         self.state_rate_limit(server, rate, trio.current_time())
-        return self._read_answer(request, raw)
-
-    def _read_answer(self, request, raw):
-        protocol = self.protocol
-        if raw.status == MISDIRECTED_STATUS:
-            refusal = Answer.from_reason(RefusalReason.BACKEND_UNREACHABLE)
-            return AttemptResult(AttemptOutcome.MISDIRECTED, refusal)
-        if protocol.unprocessed and raw.get_header(protocol.unprocessed) is not None:
-            refusal = Answer.from_reason(RefusalReason.BACKEND_SHED)
-            return AttemptResult(AttemptOutcome.SHED, refusal)
-        is_from_server = not protocol.signature or raw.get_header(protocol.signature)
-        if raw.status < 300 and not is_from_server:
-            lost = Answer.from_reason(RefusalReason.ANSWER_MISMATCH)
-            return AttemptResult(AttemptOutcome.LOST, lost)
-        answer = Answer(Outcome.DONE, raw.status, tuple(raw.headers), raw.body)
-        if raw.status < 500:
-            return AttemptResult(AttemptOutcome.SERVED, answer)
-        left = request.deadline - trio.current_time()
-        if raw.status == _GATEWAY_TIMEOUT and left < _DEADLINE_MARGIN_SECONDS:
-            return AttemptResult(AttemptOutcome.TIMED_OUT, answer)
-        return AttemptResult(AttemptOutcome.FAILED, answer)
+        return read_answer(self.protocol, request, raw)
 
     def _record_result(self, pool, server, request, attempt, started_at):
         """Update the evidence on a server and the averages of its route."""
--- a/kumquatsaddle/balance/pool.py
+++ b/kumquatsaddle/balance/pool.py
@@ -1,8 +1,5 @@
 """The backend servers of one service at one instance, and its queue of requests."""
 
-from collections import deque
-from itertools import count
-
 import trio
 
 from kumquatsaddle.balance.budget import SlidingRetryBudget
@@ -12,6 +9,7 @@
     choose_server,
     is_explorable,
 )
+from kumquatsaddle.balance.drain_rate import DrainRate
 from kumquatsaddle.balance.servers import BalancedServer
 from kumquatsaddle.dispatch.rate_limits import merge_delays
 from kumquatsaddle.exceptions import RateLimitedError
@@ -29,11 +27,6 @@
 _REPEATABLE_FIRST_SECONDS = 1.0
 # Retry-After for a request that only servers could run which are left to others.
 _OTHER_INSTANCES_RETRY_SECONDS = 1.0
-# Time over which the rate at which the queue drains is counted.
-_DRAIN_WINDOW_SECONDS = 2.0
-# A request is refused only if the queue would not reach it in time even if it drained
-# this much faster: few requests in the window make the rate uncertain.
-_DRAIN_TOLERANCE = 2.0
 # Shortest time between counts of the servers in use while no request is sent.
 _USE_COUNT_INTERVAL_SECONDS = 0.1
 
@@ -81,9 +74,7 @@
         self._protocol = protocol
         self._averages = averages
         self._waiters = []
-        # When the queue was empty last, and when requests started since then.
-        self._empty_at = float("-inf")
-        self._started_at = deque()
+        self._drain_rate = DrainRate()
         self._assigned_at = float("-inf")
         self._local_first = ()
         self._explores = False
@@ -151,8 +142,7 @@
         if server is None:
             waiter = _Waiter(request, excluded, until)
             if not self._waiters:
-                self._empty_at = trio.current_time()
-                self._started_at.clear()
+                self._drain_rate.restart(trio.current_time())
             self._waiters.append(waiter)
             # By rank, the most urgent first; within a rank by deadline.
             self._waiters.sort(key=_compute_queue_order)
@@ -241,13 +231,7 @@
         delays = merge_delays(limits, now)
         if delays is not None or all(limit.rate is None for limit in limits):
             return delays
-        if now - self._empty_at < _DRAIN_WINDOW_SECONDS:
-            return None
-        while self._started_at and self._started_at[0] < now - _DRAIN_WINDOW_SECONDS:
-            self._started_at.popleft()
-        expected = max(1, len(self._started_at)) * _DRAIN_TOLERANCE
-        interval = _DRAIN_WINDOW_SECONDS / expected
-        return count(interval, interval)
+        return self._drain_rate.iterate_delays(now)
 
     def _needs_exploration(self, now):
         """Return whether servers that are not in use have to be tried.
@@ -341,7 +325,7 @@
         # Added to the load here, because the task of a waiting request runs only later.
         server.begin(id(request), now, self._averages.estimate_seconds(request.route))
         if self._waiters:
-            self._started_at.append(now)
+            self._drain_rate.add_start(now)
         self._use_counted_at = float("-inf")
         return server
 
