Bound the memory of the drain rate

A queue that never emptied while no server had a limit kept the time of each start, since only an estimate dropped old ones. Found by reading; the second new scenario failed before (100,000 of them kept) and passes.

--- a/kumquatsaddle/balance/drain_rate.py
+++ b/kumquatsaddle/balance/drain_rate.py
@@ -30,6 +30,7 @@
 
     def add_start(self, now):
         """Count a request that starts while others wait."""
+        self._drop_expired(now)
         self._started_at.append(now)
 
     def iterate_delays(self, now):
@@ -47,7 +48,10 @@
         """
         if now - self._empty_at < _WINDOW_SECONDS:
             return None
-        while self._started_at and self._started_at[0] < now - _WINDOW_SECONDS:
-            self._started_at.popleft()
+        self._drop_expired(now)
         interval = _WINDOW_SECONDS / (_TOLERANCE * max(1, len(self._started_at)))
         return count(interval, interval)
+
+    def _drop_expired(self, now):
+        while self._started_at and self._started_at[0] < now - _WINDOW_SECONDS:
+            self._started_at.popleft()
