Keep the time to come back of a refusal over a hop

In the own deployment a caller whose request another instance refused for the rates of the servers got no Retry-After, since the reply had no field for it. Older builds ignore the new field.

--- a/kumquatsaddle/dispatch/peers.py
+++ b/kumquatsaddle/dispatch/peers.py
@@ -23,6 +23,7 @@
     MessageError,
 )
 _OUTCOMES = tuple(Outcome)
+_MAX_UINT32 = (1 << 32) - 1
 
 
 class PeerError(KumquatsaddleError):
@@ -251,6 +252,8 @@
     body.body = answer.body
     body.reason = answer.reason.value if answer.reason else ""
     body.operation = answer.operation
+    if answer.retry_after is not None:
+        body.retryAfterMs = min(max(1, round(answer.retry_after * 1000)), _MAX_UINT32)
 
 
 def read_answer(envelope):
@@ -267,9 +270,14 @@
         outcome = _OUTCOMES[body.outcome]
     except (ValueError, IndexError) as error:
         raise MessageError(f"malformed: {error}") from None
-    headers = read_headers(body)
     return Answer(
-        outcome, body.status, headers, bytes(body.body), reason, body.operation
+        outcome,
+        body.status,
+        read_headers(body),
+        bytes(body.body),
+        reason,
+        body.operation,
+        body.retryAfterMs / 1000 or None,
     )
 
 
--- a/kumquatsaddle/messages/messages.capnp
+++ b/kumquatsaddle/messages/messages.capnp
@@ -100,6 +100,7 @@
   body @4 :Data;
   reason @5 :Text;         # value of the RefusalReason, or empty
   operation @6 :Text;
+  retryAfterMs @7 :UInt32; # time after which a retry can succeed, or 0 if unknown
 }
 
 struct FetchChanges {
