Tell the limits of servers in a zone that has no instance

While a zone had no instance, no leader told the limits of its servers to other zones, so that these forgot them after 30 s and would have used the servers like others until the next answer. The zone that uses such servers now tells of them. A datagram holds up to 600 limits in place of 200: with more in force, the same ones were left out each time.

--- a/kumquatsaddle/balance/limit_shares.py
+++ b/kumquatsaddle/balance/limit_shares.py
@@ -82,18 +82,29 @@
         turn = zones.index(self._own.zone) / len(zones) + users.index(self._own.name)
         return RateShare(1.0 / (len(zones) * len(users)), turn / len(users))
 
-    def _choose_zones(self, server, supplied_zones):
-        """Return the zones whose instances use a server.
+    def is_responsible(self, server):
+        """Return whether this zone tells the others of the limit of a server.
 
-        The first one is its own, or another one while its own has no instance.
+        It is the zone of the server, or another one while that has no instance.
         """
-        by_score = _sort_by_score(server, self._attended)
+        return self._choose_responsible_zone(server) == self._own.zone
+
+    def _choose_responsible_zone(self, server):
         zone = server.record.zone
-        home = zone if zone in self._attended else by_score[0]
+        return zone if zone in self._attended else self._sort_zones(server)[0]
+
+    def _choose_zones(self, server, supplied_zones):
+        """Return the zones whose instances use a server, the responsible one first."""
+        first = self._choose_responsible_zone(server)
         without = [
-            other for other in by_score if other not in supplied_zones and other != home
+            zone
+            for zone in self._sort_zones(server)
+            if zone not in supplied_zones and zone != first
         ]
-        return [home, *without[:_MAX_FURTHER_ZONES]]
+        return [first, *without[:_MAX_FURTHER_ZONES]]
+
+    def _sort_zones(self, server):
+        return _sort_by_score(server, self._attended)
 
 
 def _sort_by_score(server, names):
--- a/kumquatsaddle/sharing/exchange.py
+++ b/kumquatsaddle/sharing/exchange.py
@@ -246,7 +246,9 @@
         )
         if failed:
             loads = [load for load in loads if load.server in failed]
-        limits = () if failed else self._limits.list_all(self.peers.own.zone)
+        limits = ()
+        if not failed:
+            limits = self._limits.list_all(self._limit_shares.is_responsible)
         report = self._make_report(loads, limits, summary=True, partial=bool(failed))
         data = encode_report(report)
         for record in choose_recipients(self.peers, self._zone_summaries, bool(failed)):
--- a/kumquatsaddle/sharing/limits.py
+++ b/kumquatsaddle/sharing/limits.py
@@ -16,8 +16,8 @@
 _FORGET_AFTER_SECONDS = 30.0
 # How long the end of a limit is told.
 _ENDED_TOLD_SECONDS = 10.0
-# Limits in one datagram; the rest follow with the next answers that state them.
-_MAX_LIMITS = 200
+# Limits in one datagram, so that they fit into it beside the loads of a zone.
+_MAX_LIMITS = 600
 
 
 class SharedLimits:
@@ -62,12 +62,9 @@
             server for server in servers if server.rate_limit.is_first_hand
         )
 
-    def list_all(self, zone=None):
-        """Return all known limits, or those of the servers of a zone."""
-        servers = self._list_tracked()
-        return self._make_limits(
-            server for server in servers if zone in (None, server.record.zone)
-        )
+    def list_all(self, is_told=lambda server: True):
+        """Return the known limits of the servers for which `is_told` is true."""
+        return self._make_limits(filter(is_told, self._list_tracked()))
 
     def apply(self, limits):
         """Apply the limits of a report, as far as they are newer than the known ones.
--- a/kumquatsaddle/sharing/tests/rate_limits.feature
+++ b/kumquatsaddle/sharing/tests/rate_limits.feature
@@ -34,3 +34,9 @@
     # Guards against requests that wait until their deadline although no server can take them in time.
     Given an overloaded fleet in which all servers but one have limits
     Then few requests wait until their time is over and are refused then
+
+  Scenario: A limit in a zone without instances is known for as long as it lasts
+    # Guards against zones that forget a limit because no instance is left in that of the server.
+    Given limits for 75 seconds in a zone that loses all its instances
+    Then all other instances still know the limits
+    And no server gets more than its limit, from any zone
--- a/kumquatsaddle/sharing/tests/steps/rate_limits.py
+++ b/kumquatsaddle/sharing/tests/steps/rate_limits.py
@@ -237,3 +237,35 @@
     servers = context.cut.dispatcher.list_servers()
     limited = [server.name for server in servers if server.rate_limit.rate is not None]
     assert not limited, limited
+
+
+async def serve_dark_zone(nursery):
+    fleet = LimitedFleet(nursery, 3, 4, 3, 7)
+    await fleet.start()
+    for server in fleet.servers:
+        if server.record.zone == "z1":
+            server.name_rate(1.0)
+    await fleet.send_load(30.0, 5.0)
+    await kill_zone(fleet)
+    await fleet.send_load(30.0, 70.0)
+    return fleet
+
+
+@given("limits for 75 seconds in a zone that loses all its instances")
+def prepare_dark_zone(context):
+    context.fleet = play_repeatably(serve_dark_zone)
+
+
+@then("all other instances still know the limits")
+def check_known(context):
+    for instance in context.fleet.instances:
+        servers = instance.dispatcher.list_servers()
+        rates = {item.name for item in servers if item.rate_limit.rate is not None}
+        named = {item.record.name for item in context.fleet.servers if item.rate}
+        assert not instance.alive or rates == named, (instance.record.name, rates)
+
+
+@then("no server gets more than its limit, from any zone")
+def check_dark_zone(context):
+    excess = context.fleet.count_excess(WINDOW_SECONDS, SLACK, FACTOR, GRACE_SECONDS)
+    assert excess <= 0, excess
