Let a request wait while no server is in service for a moment

Waiting requests of a service whose servers had all left service were refused at once for rate limits that nobody stated: a list without limits counted as one in which each server has one. They wait again, as before the limits, for a server that comes back. In the same step a limit stated by a draining server gets its share: if that server came back, each choice failed with an AttributeError.

Both found by reading and a test of the second; the two new scenarios failed before (timeout of the wait, AttributeError) and pass.

--- a/kumquatsaddle/balance/dispatcher.py
+++ b/kumquatsaddle/balance/dispatcher.py
@@ -141,9 +141,15 @@
             pool.assign_waiting()
 
     def _set_limit_shares(self, pool):
-        servers = pool.list_in_service()
-        limited = [server for server in servers if server.rate_limit.rate is not None]
-        zones = {server.record.zone for server in servers} if limited else ()
+        # Also of those that drain, which may come back.
+        limited = [
+            server
+            for server in pool.servers.values()
+            if server.rate_limit.rate is not None
+        ]
+        if not limited:
+            return
+        zones = {server.record.zone for server in pool.list_in_service()}
         for server in limited:
             share = self.compute_limit_share(server, zones)
             server.rate_limit.set_share(share, trio.current_time())
--- a/kumquatsaddle/balance/tests/dispatcher.feature
+++ b/kumquatsaddle/balance/tests/dispatcher.feature
@@ -75,3 +75,15 @@
     When 8 requests are dispatched and the dispatcher stops starting
     Then the 2 that wait are refused as not run and the others are answered
     And a new request is refused at once
+
+  Scenario: A request waits while no server is in service for a moment
+    # Guards against a refusal for rate limits where there is no server at all.
+    Given one server with 6 slots that holds its answers
+    When 7 requests are dispatched, the server drains and answers, and is ready again
+    Then all are served
+
+  Scenario: A draining server that states a rate limit is used again
+    # Guards against an instance that fails at each choice because the limit has no share.
+    Given one server with 6 slots that holds its answers
+    When it drains, states a rate limit of 2 requests a second and is ready again
+    Then a request that waited is served
--- a/kumquatsaddle/dispatch/rate_limits.py
+++ b/kumquatsaddle/dispatch/rate_limits.py
@@ -118,7 +118,7 @@
 
     def allows(self, now):
         """Return whether a request may be sent now."""
-        return self.rate is None or next(self._bucket.iterate_delays(now), 1.0) == 0.0
+        return self.rate is None or self._bucket.count(now) >= 1.0
 
     def take(self, now):
         """Count a request."""
@@ -149,10 +149,10 @@
     Returns
     -------
     iterator of float or None
-        Ascending; None if a server has no limit.
+        Ascending; None if a server has no limit, or if there is none at all.
     """
     limits = list(limits)
-    if any(limit.rate is None for limit in limits):
+    if not limits or any(limit.rate is None for limit in limits):
         return None
     return merge(*(limit.iterate_delays(now) for limit in limits))
 
