Refuse the least urgent requests first when rates leave no room

In the own deployment an urgent request was refused for the rates of the servers when the queue was full of bulk work, although it would have gone first: all waiters counted as ahead of it. Only those of its own and of more urgent ranks count now.

The queue of the users' platform goes by rank already.

--- a/kumquatsaddle/admission/queue.py
+++ b/kumquatsaddle/admission/queue.py
@@ -89,6 +89,12 @@
     def __len__(self):
         return sum(map(len, self._queues_by_rank.values()))
 
+    def count_ahead(self, rank):
+        """Return the number of waiters of the same or a more urgent rank."""
+        return sum(
+            len(queue) for other, queue in self._queues_by_rank.items() if other <= rank
+        )
+
     def push(self, waiter):
         """Add a waiter; return the one that is dropped for it, or None.
 
--- a/kumquatsaddle/dispatch/dispatcher.py
+++ b/kumquatsaddle/dispatch/dispatcher.py
@@ -173,7 +173,8 @@
             return server
         # A request with less time left than this is usually answered too late.
         pool.queue.service_time = min(pool.baseline.p99, 2 * pool.baseline.median)
-        pool.refuse_if_limited(request.deadline - pool.queue.service_time)
+        start_by = request.deadline - pool.queue.service_time
+        pool.refuse_if_limited(request.rank, start_by)
         dropped = pool.queue.push(waiter)
         if dropped is not None:
             dropped.refuse(RefusalReason.QUEUE_FULL)
--- a/kumquatsaddle/dispatch/pools.py
+++ b/kumquatsaddle/dispatch/pools.py
@@ -146,11 +146,12 @@
             event = "backend_limited" if rate is not None else "backend_limit_ended"
             log_event(event, backend=server.name, rate=rate, before=before)
 
-    def refuse_if_limited(self, start_by):
+    def refuse_if_limited(self, rank, start_by):
         """Refuse a new request that the rate limits do not let start in time.
 
         Parameters
         ----------
+        rank : Rank
         start_by : float
             Time in seconds by which it must start.
 
@@ -163,7 +164,7 @@
         delays = merge_delays(limits, now)
         if delays is None:
             return
-        delay = next(islice(delays, len(self.queue), None), None)
+        delay = next(islice(delays, self.queue.count_ahead(rank), None), None)
         if delay is None or now + delay > start_by:
             raise RateLimitedError(delay, self.service.name)
 
--- a/kumquatsaddle/dispatch/tests/dispatcher.feature
+++ b/kumquatsaddle/dispatch/tests/dispatcher.feature
@@ -73,6 +73,11 @@
     Then requests beyond the rate that the server states are refused at once
     And they are sent again once it states no rate
 
+  Scenario: A rate limit refuses the least urgent requests first
+    # Guards against urgent requests that are refused because bulk work fills the queue.
+    Given 1 scripted servers on loopback
+    Then an urgent request is queued although bulk requests use up the rate of the server
+
   Scenario: A home that stops starts no request in its last seconds
     # Guards against requests that leave the queue and are cut off by the end of the process.
     Given 1 scripted servers on loopback
--- a/kumquatsaddle/dispatch/tests/steps/dispatcher.py
+++ b/kumquatsaddle/dispatch/tests/steps/dispatcher.py
@@ -53,7 +53,7 @@
         await trio.testing.wait_all_tasks_blocked(0.001)
 
 
-def make_request(target, idempotent=True):
+def make_request(target, idempotent=True, rank=Rank.STANDARD):
     return Request(
         method="GET" if idempotent else "POST",
         target=target,
@@ -61,7 +61,7 @@
         body=b"",
         account="a",
         service="s",
-        rank=Rank.STANDARD,
+        rank=rank,
         idempotent=idempotent,
         deadline=trio.current_time() + TIMEOUT_SECONDS,
     )
@@ -411,3 +411,30 @@
         assert (await harness.send("/new")).reason is RefusalReason.STOPPING
         harness.servers.release_answer.set()
     assert sum(answer.status == 200 for answer in answers) == SLOTS
+
+
+@then_with_harness(
+    "an urgent request is queued although bulk requests use up the rate of the server"
+)
+async def check_urgent_first(harness):
+    harness.servers.rate_limit = b"0.5"
+    await harness.send("/first")
+    answers = {}
+
+    async def send(target, rank):
+        request = make_request(target, True, rank)
+        answers[target] = await harness.dispatcher.dispatch(request)
+
+    async with trio.open_nursery() as nursery:
+        for number in range(9):
+            nursery.start_soon(send, f"/bulk/{number}", Rank.BULK)
+        await harness.settle()
+        assert answers, "the rate of the server leaves room for all"
+        nursery.start_soon(send, "/urgent", Rank.URGENT)
+        await harness.settle()
+        assert "/urgent" not in answers, answers["/urgent"]
+        harness.clock.jump(2.5)
+        harness.pool.advance()
+        await harness.settle()
+        assert answers["/urgent"].status == 200
+        nursery.cancel_scope.cancel()
