Start no request that would outlast a planned stop

Both dispatchers now know when the process ends and refuse, as not run (reason stopping), a request that would need more than twice the usual response time of its route (own deployment: the usual service time of its queue) until then, also one that waited when the stop began. Other instances serve it.

Evidence: the new scenario of the balanced dispatcher failed with an empty plan_stop (a seventh request reached the server) and passes; that of the own dispatcher did not end there (the new request waited for a slot; stopped by hand) and passes.

--- a/kumquatsaddle/balance/dispatcher.py
+++ b/kumquatsaddle/balance/dispatcher.py
@@ -20,6 +20,7 @@
 from kumquatsaddle.dispatch.connections import AnswerMemory, ExchangeError
 from kumquatsaddle.dispatch.rate_limits import WHOLE_RATE, read_rate
 from kumquatsaddle.dispatch.retries import choose_answer
+from kumquatsaddle.dispatch.starts import StartLimit
 from kumquatsaddle.exceptions import RateLimitedError
 from kumquatsaddle.exchange import Answer
 from kumquatsaddle.logs import log_event
@@ -33,6 +34,8 @@
 _MIN_REMAINING_SHARE = 0.8
 # Time for which a server that shed a request gets no other one.
 _SHED_PAUSE_SECONDS = 0.15
+# Expected response times that a request needs until the end of a planned stop.
+_STOP_MARGIN = 2.0
 
 
 class BalancedDispatcher:
@@ -77,7 +80,7 @@
         self.compute_limit_share = lambda server, supplied_zones: WHOLE_RATE
         self._zone = zone
         self._unattended = frozenset()
-        self._starts = True
+        self._start_limit = StartLimit()
 
     async def update_servers(self, records):
         """Replace the list of backend servers and close those no longer in it.
@@ -184,7 +187,8 @@
                 )
                 break
             if server is None:
-                answer = answer or Answer.from_reason(self._get_missing_reason())
+                reason = self._get_missing_reason(request)
+                answer = answer or Answer.from_reason(reason)
                 break
             if outcome is not None:
                 self.metrics.count_retry(RETRY_REASONS[outcome])
@@ -199,15 +203,31 @@
         self._log_request(request, pool, attempt_summaries, answer)
         return answer
 
+    def plan_stop(self, ends_at):
+        """Start no request that would outlast a planned stop.
+
+        Parameters
+        ----------
+        ends_at : float
+            When the process ends, on the clock of trio in seconds.
+        """
+        self._start_limit.plan_stop(ends_at)
+
     def stop_starting(self):
         """Refuse the requests that wait and all that come; others may end."""
-        self._starts = False
+        self._start_limit.close()
         for pool in self.pools.values():
             pool.refuse_waiting()
 
-    def _get_missing_reason(self):
+    def _get_missing_reason(self, request):
         """Return why a request that was not sent got no server."""
-        return RefusalReason.NO_BACKEND if self._starts else RefusalReason.STOPPING
+        if self._start_limit.allows(self._compute_stop_duration(request)):
+            return RefusalReason.NO_BACKEND
+        return RefusalReason.STOPPING
+
+    def _compute_stop_duration(self, request):
+        """Return the time that a request has to have until the end of the process."""
+        return _STOP_MARGIN * self.averages.estimate_seconds(request.route)
 
     def _get_or_create_pool(self, service):
         pool = self.pools.get(service)
@@ -241,11 +261,20 @@
         return False
 
     async def _acquire_server(self, pool, request, excluded):
-        if not self._starts:
+        duration = self._compute_stop_duration(request)
+        if not self._start_limit.allows(duration):
             return None
         expected = self.averages.estimate_seconds(request.route)
-        until = request.deadline - _MIN_REMAINING_SHARE * expected
-        return await pool.acquire_server(request, excluded, until)
+        until = min(
+            request.deadline - _MIN_REMAINING_SHARE * expected,
+            self._start_limit.compute_latest_start(duration),
+        )
+        server = await pool.acquire_server(request, excluded, until)
+        # The stop may have begun while the request waited.
+        if server is not None and not self._start_limit.allows(duration):
+            pool.release(server, request)
+            return None
+        return server
 
     async def _attempt(self, pool, server, request, attempt_summaries):
         started_at = trio.current_time()
--- a/kumquatsaddle/balance/tests/dispatcher.feature
+++ b/kumquatsaddle/balance/tests/dispatcher.feature
@@ -76,6 +76,13 @@
     Then the 2 that wait are refused as not run and the others are answered
     And a new request is refused at once
 
+  Scenario: An instance that stops starts no request that would outlast the stop
+    # Guards against long requests that are started early in a stop and cut off at its end.
+    Given one server with 6 slots that holds its answers
+    When 7 requests of 2 seconds are dispatched and a stop in 2 seconds is planned
+    Then the one that waits is refused as stopping when a slot becomes free
+    And a new request is refused as stopping and a short one is served
+
   Scenario: A request waits while no server is in service for a moment
     # Guards against a refusal for rate limits where there is no server at all.
     Given one server with 6 slots that holds its answers
--- a/kumquatsaddle/balance/tests/steps/dispatcher.py
+++ b/kumquatsaddle/balance/tests/steps/dispatcher.py
@@ -488,6 +488,49 @@
     assert len(context.servers.reached) == 6
 
 
+@when("7 requests of 2 seconds are dispatched and a stop in 2 seconds is planned")
+def dispatch_and_plan_stop(context):
+    async def run():
+        route = make_request(0, False).route
+        context.dispatcher.averages.add_seconds(route, 2.0)
+        for number in range(7):
+            start_dispatch(context, number)
+        await wait_until(lambda: len(context.servers.reached) == 6)
+        await wait_until(lambda: count_waiting(context) == 1)
+        context.dispatcher.plan_stop(trio.current_time() + 2.0)
+
+    context.loop.run(run)
+
+
+@then("the one that waits is refused as stopping when a slot becomes free")
+def check_waiting_refused(context):
+    async def release():
+        context.servers.release_answer.set()
+        await wait_until(lambda: len(context.answers) == 7)
+
+    context.loop.run(release)
+    assert len(context.servers.reached) == 6, context.servers.reached
+    refused = [item for item in context.answers.values() if item.status != 200]
+    assert [item.reason for item in refused] == [RefusalReason.STOPPING]
+    assert refused[0].outcome is Outcome.NOT_RUN
+
+
+@then("a new request is refused as stopping and a short one is served")
+def check_short_served(context):
+    context.servers.default = ("whole", 0)
+
+    async def send():
+        long = make_request(8, False)
+        short = make_request(9, False)
+        short.route = replace(short.route, name="short", objective=0.2)
+        return [await context.dispatcher.dispatch(item) for item in (long, short)]
+
+    refused, served = context.loop.run(send)
+    assert refused.reason is RefusalReason.STOPPING
+    assert served.status == 200
+    assert "/8" not in context.servers.reached
+
+
 async def drain_and_return(context, rate_limit):
     (server,) = context.dispatcher.list_servers()
     ready = server.record
--- a/kumquatsaddle/dispatch/dispatcher.py
+++ b/kumquatsaddle/dispatch/dispatcher.py
@@ -25,6 +25,7 @@
     is_stale_connection_error,
     make_retry_budget,
 )
+from kumquatsaddle.dispatch.starts import StartLimit
 from kumquatsaddle.exceptions import RefusedError
 from kumquatsaddle.exchange import Answer
 from kumquatsaddle.types import Outcome, RefusalReason, RetryReason
@@ -61,7 +62,7 @@
         self.pools = {}
         self._budgets = {}
         self._request_ids = count(1)
-        self._starts = True
+        self._start_limit = StartLimit()
 
     async def update_groups(self, services, groups, new=frozenset()):
         """Set the groups whose home is this instance.
@@ -139,9 +140,19 @@
         """Return the `ServiceDigest` of each service at this instance."""
         return [pool.describe() for pool in self.pools.values()]
 
+    def plan_stop(self, ends_at):
+        """Start no request that would outlast a planned stop.
+
+        Parameters
+        ----------
+        ends_at : float
+            When the process ends, on the clock of trio in seconds.
+        """
+        self._start_limit.plan_stop(ends_at)
+
     def stop_starting(self):
         """Refuse the requests that wait and all that come; others may end."""
-        self._starts = False
+        self._start_limit.close()
         for pool in self.pools.values():
             pool.queue.refuse_all(RefusalReason.STOPPING)
 
@@ -161,7 +172,9 @@
             If the service has no server here, or if the request is dropped from the
             queue or cannot start in time.
         """
-        if not self._starts:
+        # A request with less time left than this is usually answered too late.
+        pool.queue.service_time = min(pool.baseline.p99, 2 * pool.baseline.median)
+        if not self._start_limit.allows(pool.queue.service_time):
             raise RefusedError(RefusalReason.STOPPING, request.service)
         if not pool.servers:
             raise RefusedError(RefusalReason.NO_BACKEND, request.service)
@@ -171,8 +184,6 @@
         if server is not None:
             server.take_slot()
             return server
-        # A request with less time left than this is usually answered too late.
-        pool.queue.service_time = min(pool.baseline.p99, 2 * pool.baseline.median)
         start_by = request.deadline - pool.queue.service_time
         pool.refuse_if_limited(request.rank, start_by)
         dropped = pool.queue.push(waiter)
@@ -181,13 +192,19 @@
         pool.assign_waiting()
         if not waiter.event.is_set():
             await self._wait_for_slot(pool, waiter)
+        # The stop may have begun while the request waited.
+        if not self._start_limit.allows(pool.queue.service_time):
+            if waiter.slot is not None:
+                _release_slot(pool, waiter.slot)
+            raise RefusedError(RefusalReason.STOPPING, request.service)
         if waiter.slot is not None:
             return waiter.slot
         raise RefusedError(waiter.refusal or RefusalReason.DEADLINE)
 
     async def _wait_for_slot(self, pool, waiter):
+        latest_start = self._start_limit.compute_latest_start(pool.queue.service_time)
         try:
-            with trio.move_on_at(waiter.start_by):
+            with trio.move_on_at(min(waiter.start_by, latest_start)):
                 await waiter.event.wait()
         except trio.Cancelled:
             # The slot may have been granted in the same step of the event loop.
--- a/kumquatsaddle/dispatch/tests/dispatcher.feature
+++ b/kumquatsaddle/dispatch/tests/dispatcher.feature
@@ -82,3 +82,8 @@
     # Guards against requests that leave the queue and are cut off by the end of the process.
     Given 1 scripted servers on loopback
     Then waiting and new requests are refused once the dispatcher stops starting
+
+  Scenario: A home that stops starts no request that would outlast the stop
+    # Guards against long requests that are started early in a stop and cut off at its end.
+    Given 1 scripted servers on loopback
+    Then waiting and new requests of 2 seconds are refused when a stop ends sooner
--- a/kumquatsaddle/dispatch/tests/steps/dispatcher.py
+++ b/kumquatsaddle/dispatch/tests/steps/dispatcher.py
@@ -413,6 +413,29 @@
     assert sum(answer.status == 200 for answer in answers) == SLOTS
 
 
+@then_with_harness(
+    "waiting and new requests of 2 seconds are refused when a stop ends sooner"
+)
+async def check_outlasting(harness):
+    harness.servers.default = ("late", 0)
+    harness.pool.baseline.median = harness.pool.baseline.p99 = 2.0
+    answers = []
+
+    async def send(target):
+        answers.append(await harness.send(target))
+
+    async with trio.open_nursery() as nursery:
+        for number in range(SLOTS + 1):
+            nursery.start_soon(send, f"/{number}")
+            await harness.settle()
+        harness.dispatcher.plan_stop(trio.current_time() + 1.0)
+        assert (await harness.send("/new")).reason is RefusalReason.STOPPING
+        harness.servers.release_answer.set()
+    reasons = [answer.reason for answer in answers if answer.status != 200]
+    assert reasons == [RefusalReason.STOPPING], answers
+    assert len(answers) == SLOTS + 1 and harness.in_flight() == 0
+
+
 @then_with_harness(
     "an urgent request is queued although bulk requests use up the rate of the server"
 )
--- a/kumquatsaddle/lifecycle/stopping.py
+++ b/kumquatsaddle/lifecycle/stopping.py
@@ -62,10 +62,10 @@
 
 @asynccontextmanager
 async def stop_starting_in_time(dispatcher, times):
-    """Let a dispatcher start no request in the last part of a planned stop.
+    """Let a dispatcher start no request that the end of a planned stop may cut off.
 
-    Callers try a request that was refused at another instance; one that is cut off by
-    the end of the process may have run.
+    In the last part of the grace it starts none, before that none that is expected to
+    outlast the stop.
 
     Parameters
     ----------
@@ -78,6 +78,7 @@
         log_event("starts_ended", after=times.last_start)
         dispatcher.stop_starting()
 
+    dispatcher.plan_stop(trio.current_time() + times.notice + times.grace)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(stop_starting)
         yield
