End a rate limit only by an answer of the server that states none

A refusal without the header, an unreadable value, an answer of another server at the same address or one without the server's signature ended a limit, and the instance told all others, so that a server in need could get requests from everywhere at once until its next answer. Now only an answer to a request that ran ends a limit; a refusal may still change it.

--- a/kumquatsaddle/balance/dispatcher.py
+++ b/kumquatsaddle/balance/dispatcher.py
@@ -343,9 +343,21 @@
         if raw is None:
             reason = RefusalReason.ANSWER_LATE if written else RefusalReason.NO_BACKEND
             return AttemptResult(AttemptOutcome.LATE, Answer.from_reason(reason))
-        rate = read_rate(raw, self.protocol.rate_limit)
+        attempt = read_answer(self.protocol, request, raw)
+        self._read_rate_limit(server, raw, attempt.outcome)
+        return attempt
+
+    def _read_rate_limit(self, server, raw, outcome):
+        if outcome in (AttemptOutcome.LOST, AttemptOutcome.MISDIRECTED):
+            # Something else than the server answered.
+            return
+        rate = read_rate(
+            raw,
+            self.protocol.rate_limit,
+            server.rate_limit.rate,
+            may_end=outcome is not AttemptOutcome.SHED,
+        )
         self.state_rate_limit(server, rate, trio.current_time())
-        return read_answer(self.protocol, request, raw)
 
     def _record_result(self, pool, server, request, attempt, started_at):
         """Update the evidence on a server and the averages of its route."""
--- a/kumquatsaddle/balance/tests/dispatcher.feature
+++ b/kumquatsaddle/balance/tests/dispatcher.feature
@@ -69,6 +69,11 @@
     Given a server that states rates and then none
     Then its rate follows the latest answer and each change is logged
 
+  Scenario: Only an answer that shows the end of a rate limit ends it
+    # Guards against a limit that a refusal or the bytes of something else end for all instances.
+    Given a server that states a rate, refuses and is replaced at its address
+    Then its rate stays in force
+
   Scenario: An instance that stops starts no request in its last seconds
     # Guards against requests that leave the queue and are cut off by the end of the process.
     Given one server with 6 slots that holds its answers
--- a/kumquatsaddle/dispatch/dispatcher.py
+++ b/kumquatsaddle/dispatch/dispatcher.py
@@ -271,11 +271,18 @@
 
     def _handle_answer(self, pool, server, request, raw, started_at):
         latency = trio.current_time() - started_at
-        pool.state_rate_limit(server, read_rate(raw, DEFAULT_PROTOCOL.rate_limit))
+        is_refused = raw.status == 503 and bool(raw.get_header(_UNPROCESSED_HEADER))
+        rate = read_rate(
+            raw,
+            DEFAULT_PROTOCOL.rate_limit,
+            server.rate_limit.rate,
+            may_end=not is_refused,
+        )
+        pool.state_rate_limit(server, rate)
         is_draining = raw.get_header(_STATE_HEADER) == b"draining"
         if is_draining:
             pool.record_draining(server)
-        if raw.status == 503 and raw.get_header(_UNPROCESSED_HEADER):
+        if is_refused:
             if not is_draining:
                 server.decrease_limit()
             answer = Answer.from_reason(RefusalReason.BACKEND_SHED, request.operation)
--- a/kumquatsaddle/dispatch/rate_limits.py
+++ b/kumquatsaddle/dispatch/rate_limits.py
@@ -2,7 +2,8 @@
 
 A server in trouble may state how many requests a second it accepts from all instances
 together. The latest answer holds: it may change the rate, and one that states none ends
-the limit. An instance uses its share of the rate, as a token bucket.
+the limit, unless it is a refusal. An instance uses its share of the rate, as a token
+bucket.
 """
 
 from dataclasses import dataclass
@@ -157,23 +158,27 @@
     return merge(*(limit.iterate_delays(now) for limit in limits))
 
 
-def read_rate(answer, header):
-    """Return the request rate that an answer states, or None.
+def read_rate(answer, header, known, may_end=True):
+    """Return the rate limit of a server after one of its answers.
 
     Parameters
     ----------
     answer : RawAnswer
     header : bytes
         Name of the header; empty if the deployment has none.
+    known : float or None
+        The rate before, which an unreadable value leaves as it is; that is logged.
+    may_end : bool, default=True
+        Whether the limit ends if the answer states none.
 
     Returns
     -------
     float or None
-        In requests a second. None also if the value is no number, which is logged.
+        In requests a second; None without a limit.
     """
     value = answer.get_header(header) if header else None
     if value is None:
-        return None
+        return None if may_end else known
     try:
         rate = float(value) if len(value) <= _MAX_RATE_DIGITS else -1.0
     except ValueError:
@@ -181,4 +186,4 @@
     if isfinite(rate) and rate >= 0:
         return rate
     log_event("rate_limit_invalid", level="WARNING", value=value[:40])
-    return None
+    return known
