Spread a large configuration over a zone in time

After a configuration of 1,780 further routes, callers got 404 for routes that had been acknowledged 2.7 s before. All instances of a zone fetched the whole configuration at once from the one that had read it; on its link of 5 to 100 Mbit/s most fetches reached their limit of 0.6 s and were begun anew from the start.

Long updates are compressed for instances that accept it, at most four of them are sent at a time, each after a wait of 0.3 s at most, and an instance that cannot fetch new routes reads them from the store once. Older builds ignore the new fields, and get and send plain updates.

--- a/kumquatsaddle/discovery/follower.py
+++ b/kumquatsaddle/discovery/follower.py
@@ -3,6 +3,7 @@
 One instance of each zone watches the store and reports its versions to the others,
 which fetch the changes from it. An instance that learns of no recent read by a peer
 watches the store itself, so the loss of other instances only costs additional calls.
+One that cannot fetch new routes reads them from the store.
 """
 
 import trio
@@ -291,9 +292,22 @@
     def _has_newer_versions(self, report):
         if report.servers_version > self.servers.content_version:
             return True
+        return self._has_newer_routes(report)
+
+    def _has_newer_routes(self, report):
         known = self.routes_row.version if self.routes_row is not None else 0
         return report.routes_version > known
 
+    async def _read_routes(self):
+        """Read the routes from the store once, without watching it."""
+        try:
+            snapshot = await self._store.read_routes()
+        except PlatformUnavailableError as error:
+            log_event("routes_unread", level="WARNING", error=error)
+            return
+        for row in snapshot.rows:
+            self._apply_route_row(row)
+
     async def _fetch_from_peers(self):
         while True:
             await self._fetch_needed.wait()
@@ -304,7 +318,9 @@
                 if self._has_newer_versions(peer.report)
             ]
             for peer in newer:
-                await self._fetch(peer.record.control)
+                fetched = await self._fetch(peer.record.control)
+                if not fetched and self._has_newer_routes(peer.report):
+                    await self._read_routes()
                 if not self._has_newer_versions(peer.report):
                     break
             if newer:
--- a/kumquatsaddle/discovery/tests/follower.feature
+++ b/kumquatsaddle/discovery/tests/follower.feature
@@ -74,3 +74,10 @@
     # Guards against an instance that fetches the whole list at each report of a peer
     # that started later and has therefore read newer heartbeats of the same servers.
     Then a fetch of unchanged servers leaves nothing newer to fetch
+
+  Scenario: New routes that no peer can send are read from the store
+    # Guards against an instance that uses old routes for as long as its fetches fail.
+    Given a follower with a peer that reads the store
+    When 2 seconds pass
+    And the routes change and the peer reports them but answers no fetch
+    Then the new routes are in force after one failed fetch and one call
--- a/kumquatsaddle/discovery/tests/steps/follower.py
+++ b/kumquatsaddle/discovery/tests/steps/follower.py
@@ -10,7 +10,11 @@
 from kumquatsaddle.discovery.records import InstanceRecord, ServerRecord
 from kumquatsaddle.discovery.servers import ListedRow
 from kumquatsaddle.discovery.store import RouteRow, Snapshot
-from kumquatsaddle.exceptions import ConfigurationError, HistoryLostError
+from kumquatsaddle.exceptions import (
+    ConfigurationError,
+    HistoryLostError,
+    MessageError,
+)
 from kumquatsaddle.routes import make_route_table
 from kumquatsaddle.settings.parsers import Address
 from kumquatsaddle.sharing.messages import (
@@ -234,6 +238,43 @@
     assert run_actions(context).follower.routes.version == 7
 
 
+class UnansweredExchange:
+    """Counts fetches, which all fail."""
+
+    def __init__(self):
+        self.fetches = 0
+
+    def report_now(self):
+        pass
+
+    async def fetch(self, *arguments):
+        self.fetches += 1
+        raise MessageError("no answer")
+
+
+@when("the routes change and the peer reports them but answers no fetch")
+def publish_unfetched(context):
+    async def act():
+        harness = context.harness
+        harness.follower.exchange = UnansweredExchange()
+        harness.store.publish(routes=b"8")
+        (peer,) = harness.peers.list_alive()
+        peer.report = replace(peer.report, routes_version=harness.store.version)
+        harness.results["calls"] = len(harness.store.calls)
+        harness.follower.fetch_if_newer(peer)
+        await trio.sleep(0.1)
+
+    context.harness.actions.append(act)
+
+
+@then("the new routes are in force after one failed fetch and one call")
+def check_unfetched(context):
+    harness = run_actions(context)
+    assert harness.follower.routes.version == 8
+    assert harness.follower.exchange.fetches == 1
+    assert len(harness.store.calls) == harness.results["calls"] + 1
+
+
 class CountingExchange:
     """Counts the requests for an immediate report."""
 
--- a/kumquatsaddle/sharing/exchange.py
+++ b/kumquatsaddle/sharing/exchange.py
@@ -13,7 +13,11 @@
 from kumquatsaddle.balance.beliefs import Observation
 from kumquatsaddle.balance.limit_shares import LimitShares
 from kumquatsaddle.exceptions import MessageError
-from kumquatsaddle.sharing.fetches import fetch_update, serve_fetch
+from kumquatsaddle.sharing.fetches import (
+    fetch_update,
+    make_long_update_limiter,
+    serve_fetch,
+)
 from kumquatsaddle.sharing.limits import SharedLimits
 from kumquatsaddle.sharing.loads import OwnLoads, RemoteLoads
 from kumquatsaddle.sharing.messages import (
@@ -85,6 +89,7 @@
         self._limits = SharedLimits(dispatcher)
         self._limit_shares = LimitShares(peers.own)
         self._attended_zones = frozenset()
+        self._long_updates = make_long_update_limiter()
         dispatcher.on_answer = self._on_answer
         dispatcher.on_limit_changed = self._on_limit_changed
         dispatcher.compute_limit_share = self._limit_shares.compute_share
@@ -127,7 +132,13 @@
         MessageError
             If the instance does not answer in time or sends an invalid answer.
         """
-        fetch = Fetch(self.peers.own.name, routes_after, servers_after, wants_instances)
+        fetch = Fetch(
+            self.peers.own.name,
+            routes_after,
+            servers_after,
+            wants_instances,
+            accepts_compressed=True,
+        )
         return await fetch_update(address, fetch, timeout)
 
     def _on_load(self, server):
@@ -406,7 +417,9 @@
         )
 
     async def _serve_fetch(self, stream):
-        await serve_fetch(stream, self._node.make_update, self._metrics)
+        await serve_fetch(
+            stream, self._node.make_update, self._metrics, self._long_updates
+        )
 
 
 def make_zone_exchange(peers, dispatcher, node, metrics):
--- a/kumquatsaddle/sharing/messages.py
+++ b/kumquatsaddle/sharing/messages.py
@@ -1,5 +1,6 @@
 """Encodes and decodes the messages of `reports.capnp`."""
 
+import zlib
 from dataclasses import dataclass
 from functools import lru_cache
 from math import isfinite
@@ -40,6 +41,11 @@
 # Cached because each report repeats two addresses, and parsing them costs more than
 # decoding the rest.
 _parse_address = lru_cache(maxsize=4096)(parse_address)
+# Shorter updates are not compressed: they fit into a packet or two.
+_MIN_COMPRESSED_BYTES = 2048
+_COMPRESSION_LEVEL = 1
+# Longest update after decompression.
+_MAX_UPDATE_BYTES = 1 << 26
 # Kinds of observations whose totals a report carries, in the order of its columns.
 REPORTED_OBSERVATIONS = (
     Observation.SERVED,
@@ -123,6 +129,7 @@
     routes_after: int
     servers_after: int
     wants_instances: bool = False
+    accepts_compressed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -206,6 +213,7 @@
     message.routesAfter = fetch.routes_after
     message.serversAfter = fetch.servers_after
     message.wantsInstances = fetch.wants_instances
+    message.acceptsCompressed = fetch.accepts_compressed
     return message.to_bytes()
 
 
@@ -215,13 +223,24 @@
         _schema.Fetch,
         data,
         lambda item: Fetch(
-            item.sender, item.routesAfter, item.serversAfter, item.wantsInstances
+            item.sender,
+            item.routesAfter,
+            item.serversAfter,
+            item.wantsInstances,
+            item.acceptsCompressed,
         ),
     )
 
 
-def encode_update(update):
-    """Return the bytes of an update."""
+def encode_update(update, compresses=False):
+    """Return the bytes of an update.
+
+    Parameters
+    ----------
+    update : Update
+    compresses : bool, default=False
+        Whether a long one may be compressed.
+    """
     message = _schema.Update.new_message()
     message.routesVersion, message.routes = update.routes_version, update.routes
     message.serversVersion = update.servers_version
@@ -234,11 +253,28 @@
     for target, item in zip(instances, update.instances, strict=True):
         target.name, target.zone = item.name, item.zone
         target.callers, target.control = str(item.callers), str(item.control)
+    data = message.to_bytes()
+    if not compresses or len(data) < _MIN_COMPRESSED_BYTES:
+        return data
+    return _compress(data)
+
+
+@lru_cache(maxsize=4)
+def _compress(data):
+    """Return an update that holds another one compressed.
+
+    Cached because all instances of a zone fetch the same one at about the same time.
+    """
+    message = _schema.Update.new_message()
+    message.compressed = zlib.compress(data, _COMPRESSION_LEVEL)
     return message.to_bytes()
 
 
 def decode_update(data):
     """Return the update in a frame; raise `MessageError` if it is invalid."""
+    compressed = _decode(_schema.Update, data, lambda item: bytes(item.compressed))
+    if compressed:
+        data = _decompress(compressed)
     return _decode(_schema.Update, data, _convert_update)
 
 
@@ -306,6 +342,18 @@
     )
 
 
+def _decompress(data):
+    """Return the bytes of an update; raise `MessageError` if they are invalid."""
+    decompressor = zlib.decompressobj()
+    try:
+        decompressed = decompressor.decompress(data, _MAX_UPDATE_BYTES)
+    except zlib.error as error:
+        raise MessageError(f"{MessageRejection.MALFORMED.value}: {error}") from None
+    if not decompressor.eof:
+        raise MessageError(MessageRejection.TRUNCATED.value)
+    return decompressed
+
+
 def _convert_update(message):
     return Update(
         routes_version=message.routesVersion,
--- a/kumquatsaddle/sharing/reports.capnp
+++ b/kumquatsaddle/sharing/reports.capnp
@@ -44,6 +44,7 @@
   routesAfter @1 :UInt64;
   serversAfter @2 :UInt64;
   wantsInstances @3 :Bool;   # whether the answer shall list the known instances
+  acceptsCompressed @4 :Bool; # whether the answer may be compressed
 }
 
 # A frame: the answer to a Fetch.
@@ -54,6 +55,7 @@
   rows @3 :List(Row);
   instances @4 :List(Instance); # empty if not wanted
   completeVersion @5 :UInt64; # version as of which the rows are the whole list, or 0
+  compressed @6 :Data;       # if not empty, the whole Update in zlib format
 }
 
 struct Row {
--- a/kumquatsaddle/sharing/tests/exchange.feature
+++ b/kumquatsaddle/sharing/tests/exchange.feature
@@ -4,6 +4,17 @@
     # Guards against fields that are lost or swapped by encoding and decoding.
     Then any report, fetch and update is decoded unchanged, and truncation is an error
 
+  Scenario: A long update is compressed for instances that accept it
+    # Guards against large configurations that a slow link does not carry to a zone in time.
+    Then any update is the same with and without compression, and a broken one is an error
+    And an update of 1800 like routes takes a tenth of its bytes, but not for older builds
+
+  Scenario: Only a few long updates are sent at the same time
+    # Guards against a slow link on which all fetches of a zone time out together.
+    Given 12 instances that fetch a long update over links that carry nothing
+    Then 4 of them are being sent and the others are refused within a second
+    And a short update is sent at once
+
   Scenario: A report whose columns do not match is refused
     # Guards against loads that are decoded from the numbers of another server.
     Then a report with too many or too few numbers is an error
--- a/kumquatsaddle/sharing/tests/steps/exchange.py
+++ b/kumquatsaddle/sharing/tests/steps/exchange.py
@@ -3,6 +3,7 @@
 from dataclasses import replace
 
 import trio
+import trio.testing
 from behave import given, then, when
 from hypothesis import given as for_all
 from hypothesis import strategies as st
@@ -16,6 +17,7 @@
 from kumquatsaddle.settings.parsers import Address
 from kumquatsaddle.sharing import messages
 from kumquatsaddle.sharing.exchange import make_zone_exchange
+from kumquatsaddle.sharing.fetches import make_long_update_limiter, serve_fetch
 from kumquatsaddle.sharing.peers import PeerTable
 from kumquatsaddle.testing.exchanges import NodeStub
 from kumquatsaddle.testing.loops import start_loop
@@ -183,7 +185,8 @@
         st.integers(0, 9).map(float),
         st.integers(0, 9).map(float),
     )
-    fetches = st.builds(messages.Fetch, names, numbers, numbers, st.booleans())
+    flags = st.booleans()
+    fetches = st.builds(messages.Fetch, names, numbers, numbers, flags, flags)
     updates = st.builds(
         messages.Update,
         numbers,
@@ -210,6 +213,106 @@
     check()
 
 
+@then(
+    "any update is the same with and without compression, and a broken one is an error"
+)
+def check_compressed(context):
+    @for_all(st.binary(max_size=9), st.integers(0, 4000), st.booleans(), st.data())
+    def check(text, repetitions, compresses, data):
+        update = messages.Update(1, text * repetitions, 2, (), ())
+        encoded = messages.encode_update(update, compresses)
+        assert messages.decode_update(encoded) == update
+        cut = data.draw(st.integers(0, len(encoded) - 1))
+        try:
+            messages.decode_update(encoded[:cut])
+        except MessageError:
+            return
+        raise AssertionError("a truncated update was decoded")
+
+    check()
+
+
+@then(
+    "an update of 1800 like routes takes a tenth of its bytes, but not for older builds"
+)
+def check_size(context):
+    routes = [f'{{"Name": "route-{number}", "Service": "s"}}' for number in range(1800)]
+    update = messages.Update(1, ",".join(routes).encode(), 1, (), ())
+    plain = messages.encode_update(update, messages.Fetch("a", 0, 0).accepts_compressed)
+    compressed = messages.encode_update(update, True)
+    assert len(compressed) < len(plain) / 10, (len(compressed), len(plain))
+    assert update.routes in plain
+
+
+class BlockedStream(trio.abc.HalfCloseableStream):
+    """Receives one fetch; sends nothing on until it is closed."""
+
+    def __init__(self, fetch, is_blocked=True):
+        self._data = len(fetch).to_bytes(4, "big") + fetch
+        self._is_blocked = is_blocked
+        self.sent = 0
+        self.is_closed = False
+
+    async def receive_some(self, max_bytes=None):
+        data, self._data = self._data, b""
+        return data
+
+    async def send_all(self, data):
+        self.sent += len(data)
+        if self._is_blocked:
+            await trio.sleep_forever()
+
+    async def wait_send_all_might_not_block(self):
+        pass
+
+    async def send_eof(self):
+        pass
+
+    async def aclose(self):
+        self.is_closed = True
+
+
+@given("{number:d} instances that fetch a long update over links that carry nothing")
+def prepare_blocked(context, number):
+    fetch = messages.encode_fetch(messages.Fetch("a", 0, 0, accepts_compressed=True))
+    update = messages.Update(1, os.urandom(40000), 1, (), ())
+    short = messages.Update(1, b"short", 1, (), ())
+    context.streams = [BlockedStream(fetch) for _ in range(number)]
+    context.short = BlockedStream(fetch, is_blocked=False)
+    context.metrics = make_metrics()
+
+    async def run():
+        limiter = make_long_update_limiter()
+
+        async def serve(stream, update):
+            await serve_fetch(stream, lambda _: update, context.metrics, limiter)
+
+        async with trio.open_nursery() as nursery:
+            for stream in context.streams:
+                nursery.start_soon(serve, stream, update)
+            await trio.sleep(0.9)
+            context.closed = [stream.is_closed for stream in context.streams]
+            await serve(context.short, short)
+            nursery.cancel_scope.cancel()
+
+    trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+@then("{number:d} of them are being sent and the others are refused within a second")
+def check_turns(context, number):
+    sent = [stream.sent > 0 for stream in context.streams]
+    assert sum(sent) == number, sent
+    assert context.closed == [not item for item in sent], context.closed
+    refused = f"kumquatsaddle_updates_refused_total {len(sent) - number}"
+    text = context.metrics.render_text().decode().replace("{} ", " ")
+    assert refused in text, text
+
+
+@then("a short update is sent at once")
+def check_short(context):
+    assert context.short.sent > 0
+
+
 def list_unattended(context, zone):
     return [
         item.dispatcher.pools["s"].unattended
