--- a/benchmarks/sharing_cost.py
+++ b/benchmarks/sharing_cost.py
@@ -1,4 +1,4 @@
-"""Measures the cost of load reports, server choice and rate limits at several sizes.
+"""Measures the cost of reports, updates, server choice and rate limits by size.
 
 Usage:
   benchmarks.sharing_cost [--rounds=N]
@@ -8,11 +8,17 @@
 
 A report with a number of server loads or rate limits is encoded and decoded; a server
 is chosen from a number of servers of one service; an instance computes its share of a
-rate limit among a number of active instances.
+rate limit among a number of active instances; an update with a number of routes is
+compressed and decoded.
 """
 
+import json
 import sys
 import time
+from dataclasses import replace
+from functools import partial
+from itertools import count
+from random import Random
 
 from docopt import docopt
 
@@ -29,8 +35,11 @@
     Report,
     ServerLoad,
     StatedLimit,
+    Update,
     decode_report,
+    decode_update,
     encode_report,
+    encode_update,
 )
 from kumquatsaddle.types import Rank
 
@@ -41,6 +50,9 @@
 _LIMIT_COUNTS = (0, 8, 32, 128)
 _INSTANCE_COUNTS = (4, 13, 26, 52)
 _ZONES = tuple(f"z{number}" for number in range(7))
+_ROUTE_COUNTS = (100, 500, 1800, 5500)
+# An update takes about this much longer than a report.
+_UPDATE_ROUNDS_DIVISOR = 100
 _MICROSECONDS_PER_SECOND = 1e6
 
 
@@ -95,71 +107,113 @@
     return (time.process_time() - started) / rounds * _MICROSECONDS_PER_SECOND
 
 
+def _make_update(routes):
+    """Return an update with a configuration in an encoding like that of a platform."""
+    random = Random(1)
+    resources = [
+        {
+            "kind": "route",
+            "name": f"r-{random.randrange(1 << 24):06x}",
+            "host": f"h{number % 9}.example",
+            "prefix": f"/{random.randrange(1 << 24):06x}/",
+            "service": f"s-{number % 110}",
+            "attempts": 2,
+            "timeout_ms": 6000,
+            "objective_ms": 2000,
+        }
+        for number in range(routes)
+    ]
+    return Update(1, json.dumps(resources).encode(), 1, (), ())
+
+
+def _send_update(updates):
+    # Another one each time, since the sender compresses the same one only once.
+    decode_update(encode_update(next(updates), compresses=True))
+
+
+def _vary(update):
+    """Yield an update with a new version each time."""
+    for version in count(1):
+        yield replace(update, routes_version=version)
+
+
+def _fit_time(name, per, sizes, functions, rounds):
+    """Fit a line to the processor time of functions, in microseconds."""
+    times = [_time_call_us(function, rounds) for function in functions]
+    return fit_line(name, "us", per, sizes, times)
+
+
+def _fit_sizes(name, per, sizes, messages):
+    """Fit a line to the lengths of encoded messages, in bytes."""
+    return fit_line(name, "B", per, sizes, list(map(len, messages)))
+
+
+def _send_report(report):
+    decode_report(encode_report(report))
+
+
 def main(arguments=None):
     """Print the fitted lines; return 0."""
     options = docopt(__doc__, argv=arguments)
     rounds = int(options["--rounds"])
     reports = [_make_report(loads) for loads in _LOAD_COUNTS]
-    request = _make_request()
-    pools = [_make_servers(count) for count in _SERVER_COUNTS]
     limit_reports = [_make_report(0, limits) for limits in _LIMIT_COUNTS]
-    shares, limited = map(_make_shares, _INSTANCE_COUNTS), _make_limited_server()
+    updates = [_make_update(routes) for routes in _ROUTE_COUNTS]
+    request, limited = _make_request(), _make_limited_server()
     lines = [
-        fit_line(
+        _fit_time(
             "report, encode and decode",
-            "us",
             "load",
             _LOAD_COUNTS,
-            [
-                _time_call_us(lambda r=report: decode_report(encode_report(r)), rounds)
-                for report in reports
-            ],
-        ),
-        fit_line(
-            "report, size",
-            "B",
-            "load",
-            _LOAD_COUNTS,
-            [len(encode_report(report)) for report in reports],
+            [partial(_send_report, report) for report in reports],
+            rounds,
         ),
-        fit_line(
+        _fit_sizes("report, size", "load", _LOAD_COUNTS, map(encode_report, reports)),
+        _fit_time(
             "choice of a server",
-            "us",
             "server",
             _SERVER_COUNTS,
             [
-                _time_call_us(
-                    lambda p=pool: choose_server(p, request, 1.0, "north"), rounds
-                )
-                for pool in pools
+                partial(choose_server, _make_servers(size), request, 1.0, "north")
+                for size in _SERVER_COUNTS
             ],
+            rounds,
         ),
-        fit_line(
+        _fit_time(
             "report, encode and decode",
-            "us",
             "limit",
             _LIMIT_COUNTS,
-            [
-                _time_call_us(lambda r=report: decode_report(encode_report(r)), rounds)
-                for report in limit_reports
-            ],
+            [partial(_send_report, report) for report in limit_reports],
+            rounds,
         ),
-        fit_line(
-            "report, size",
-            "B",
-            "limit",
-            _LIMIT_COUNTS,
-            [len(encode_report(report)) for report in limit_reports],
+        _fit_sizes(
+            "report, size", "limit", _LIMIT_COUNTS, map(encode_report, limit_reports)
         ),
-        fit_line(
+        _fit_time(
             "share of a limit",
-            "us",
             "active instance",
             _INSTANCE_COUNTS,
             [
-                _time_call_us(lambda s=item: s.compute_share(limited, _ZONES), rounds)
-                for item in shares
+                partial(_make_shares(size).compute_share, limited, _ZONES)
+                for size in _INSTANCE_COUNTS
             ],
+            rounds,
+        ),
+        _fit_time(
+            "update, compress and decode",
+            "route",
+            _ROUTE_COUNTS,
+            [partial(_send_update, _vary(update)) for update in updates],
+            max(1, rounds // _UPDATE_ROUNDS_DIVISOR),
+        ),
+        _fit_sizes(
+            "update, plain size", "route", _ROUTE_COUNTS, map(encode_update, updates)
+        ),
+        _fit_sizes(
+            "update, compressed size",
+            "route",
+            _ROUTE_COUNTS,
+            [encode_update(update, compresses=True) for update in updates],
         ),
     ]
     print_lines(lines)
