--- a/kumquatsaddle/balance/tests/steps/dispatcher.py
+++ b/kumquatsaddle/balance/tests/steps/dispatcher.py
@@ -329,7 +329,8 @@
 
 @then('for any repeated refusals an order runs at most once and "not run" is true')
 def check_repeated_refusals(context):
-    actions = st.sampled_from([("refuse_again", 0), ("refuse", 0), ("whole", 0)])
+    kinds = ("refuse_again", "misdirect_again", "refuse", "whole")
+    actions = st.sampled_from([(kind, 0) for kind in kinds])
 
     @settings(max_examples=EXAMPLES)
     @for_all(st.lists(actions, max_size=5))
--- a/kumquatsaddle/testing/backends.py
+++ b/kumquatsaddle/testing/backends.py
@@ -13,6 +13,9 @@
 # Size limit in bytes that tests set for the body of an answer.
 MAX_ANSWER_BYTES = 4096
 _REFUSAL = b"HTTP/1.1 503 Shed\r\nBackend-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n"
+_MISDIRECTED = b"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n"
+# Answers without the id of the request, by the kind that sends them twice.
+_REPEATED_REFUSALS = {"refuse_again": _REFUSAL, "misdirect_again": _MISDIRECTED}
 _STATUSES = {"failed": b"500 Failed", "misdirected": b"421 Misdirected Request"}
 _UNREQUESTED_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray"
 
@@ -29,6 +32,7 @@
     - ``refuse``: status 503, marked as unprocessed;
     - ``refuse_again``: the same, and a second copy of it when the next request on the
       connection has arrived, before the answer to that one;
+    - ``misdirect_again``: the same with status 421;
     - ``cut``: only the first `number` bytes of an answer, modulo its length;
     - ``close``: closes the connection without an answer;
     - ``early``: closes the connection before it reads the request;
@@ -105,11 +109,12 @@
             line for line in head.split(b"\r\n") if b"-request:" in line.lower()
         ]
         kind, number = self._next_action()
-        if kind in ("refuse", "refuse_again"):
+        if kind == "refuse" or kind in _REPEATED_REFUSALS:
             self.refused.append(target.decode())
-            await stream.send_all(self._late_copies.pop(stream, b"") + _REFUSAL)
-            if kind == "refuse_again":
-                self._late_copies[stream] = _REFUSAL
+            refusal = _REPEATED_REFUSALS.get(kind, _REFUSAL)
+            await stream.send_all(self._late_copies.pop(stream, b"") + refusal)
+            if kind in _REPEATED_REFUSALS:
+                self._late_copies[stream] = refusal
             return True
         self.reached.append(target.decode())
         return await self._send_answer(
