Use the usual terms for reported limits and survival reports

Names and comments only: report and expire in place of tell and forget, a class named after what it holds, a factor whose name says of what.

--- a/kumquatsaddle/balance/dispatcher.py
+++ b/kumquatsaddle/balance/dispatcher.py
@@ -33,8 +33,9 @@
 _MIN_REMAINING_SHARE = 0.8
 # Time for which a server that shed a request gets no other one.
 _SHED_PAUSE_SECONDS = 0.15
-# Expected response times that a request needs until the end of a planned stop.
-_STOP_MARGIN = 2.0
+# A request is started in a planned stop only if this many times its expected response
+# time is left.
+_STOP_DURATION_FACTOR = 2.0
 
 
 class BalancedDispatcher:
@@ -226,7 +227,7 @@
 
     def _compute_stop_duration(self, request):
         """Return the time that a request has to have until the end of the process."""
-        return _STOP_MARGIN * self.averages.estimate_seconds(request.route)
+        return _STOP_DURATION_FACTOR * self.averages.estimate_seconds(request.route)
 
     def _get_or_create_pool(self, service):
         pool = self.pools.get(service)
--- a/kumquatsaddle/balance/limit_shares.py
+++ b/kumquatsaddle/balance/limit_shares.py
@@ -83,7 +83,7 @@
         return RateShare(1.0 / (len(zones) * len(users)), turn / len(users))
 
     def is_responsible(self, server):
-        """Return whether this zone tells the others of the limit of a server.
+        """Return whether this zone reports the limit of a server to the others.
 
         It is the zone of the server, or another one while that has no instance.
         """
--- a/kumquatsaddle/sharing/exchange.py
+++ b/kumquatsaddle/sharing/exchange.py
@@ -28,7 +28,7 @@
 )
 from kumquatsaddle.sharing.schedule import MAX_INTERVAL_SECONDS, ReportSchedule, Scope
 from kumquatsaddle.sharing.summaries import ZoneSummaries, ZoneTotals, choose_recipients
-from kumquatsaddle.sharing.survivals import Survivals
+from kumquatsaddle.sharing.survivals import SurvivalReports
 
 __all__ = ["ZoneExchange", "make_zone_exchange"]
 
@@ -70,7 +70,7 @@
         self._changed = trio.Event()
         self._pending_scope = Scope.DUE
         self._server_is_busy = False
-        self._survivals = Survivals()
+        self._survival_reports = SurvivalReports()
         self._zone_totals = ZoneTotals()
         self._zone_summaries = ZoneSummaries()
         self._failure_observed = trio.Event()
@@ -139,7 +139,7 @@
     def _on_load(self, server):
         now = trio.current_time()
         self._own_loads.mark_changed(server, now)
-        self._survivals.add(server, now)
+        self._survival_reports.add(server, now)
         if server.in_flight >= _BUSY_UTILIZATION * server.record.slots:
             self._server_is_busy = True
         self._changed.set()
@@ -175,11 +175,11 @@
             self._schedule.update(active, self._node.get_read_age())
             self._update_limit_shares(active)
             due = self._last_round_at + self._schedule.get_round_interval()
-            with trio.move_on_at(min(due, self._survivals.get_next_due())):
+            with trio.move_on_at(min(due, self._survival_reports.get_next_due())):
                 await self._changed.wait()
             now = trio.current_time()
             scope = Scope.DUE
-            survived = self._survivals.pop_due(now)
+            survived = self._survival_reports.pop_due(now)
             self._own_loads.changed |= survived
             if survived:
                 scope = Scope.ACTIVE
@@ -194,7 +194,7 @@
             if now >= due:
                 self._last_round_at = now
                 self._update_unattended_zones(now)
-                self._limits.forget_untold()
+                self._limits.expire()
             self._send_report(scope)
 
     async def _coalesce_changes(self):
--- a/kumquatsaddle/sharing/limits.py
+++ b/kumquatsaddle/sharing/limits.py
@@ -1,7 +1,7 @@
-"""Rate limits of backend servers as instances tell them to each other.
+"""Rate limits of backend servers in the reports between instances.
 
-An instance tells its peers of the limits that it learnt from answers itself. What it
-learnt from others it tells only to an instance that has just started and, as zone
+An instance reports to its peers the limits that answers to its own requests stated. What
+others reported it passes on only to an instance that has just started and, as zone
 leader, to other zones, so that a statement never returns to where it came from.
 """
 
@@ -11,17 +11,17 @@
 
 __all__ = ["SharedLimits"]
 
-# A limit that no instance has told for this time is forgotten: it may have ended while
+# A limit that no instance has reported for this time is dropped: it may have ended while
 # this instance was cut off.
-_FORGET_AFTER_SECONDS = 30.0
-# How long the end of a limit is told.
-_ENDED_TOLD_SECONDS = 10.0
+_EXPIRY_SECONDS = 30.0
+# How long the end of a limit is reported.
+_END_REPORTED_SECONDS = 10.0
 # Limits in one datagram, so that they fit into it beside the loads of a zone.
 _MAX_LIMITS = 600
 
 
 class SharedLimits:
-    """The limits that one instance tells.
+    """The limits that one instance reports.
 
     Parameters
     ----------
@@ -33,8 +33,8 @@
         self._changed = set()
         # When the limit ended, or None while it is in force, by server name.
         self._ended_at = {}
-        # When another instance told of a limit last, by server name.
-        self._told_at = {}
+        # When another instance last reported a limit, by server name.
+        self._reported_at = {}
 
     def track(self, server):
         """Note that the limit of a server has changed.
@@ -62,9 +62,9 @@
             server for server in servers if server.rate_limit.is_first_hand
         )
 
-    def list_all(self, is_told=lambda server: True):
-        """Return the known limits of the servers for which `is_told` is true."""
-        return self._make_limits(filter(is_told, self._list_tracked()))
+    def list_all(self, is_included=lambda server: True):
+        """Return the known limits of the servers for which `is_included` is true."""
+        return self._make_limits(filter(is_included, self._list_tracked()))
 
     def apply(self, limits):
         """Apply the limits of a report, as far as they are newer than the known ones.
@@ -83,15 +83,15 @@
                     server, limit.rate, now - limit.age, is_first_hand=False
                 )
             if limit.rate is not None:
-                self._told_at[server.name] = now
+                self._reported_at[server.name] = now
 
-    def forget_untold(self):
-        """End the limits that no other instance tells and no request here can renew."""
+    def expire(self):
+        """End the limits that no instance reports and no request here can renew."""
         now = trio.current_time()
         for server in self._list_tracked():
             limit = server.rate_limit
-            told_at = self._told_at.get(server.name, limit.stated_at)
-            is_old = now - told_at > _FORGET_AFTER_SECONDS
+            reported_at = self._reported_at.get(server.name, limit.stated_at)
+            is_old = now - reported_at > _EXPIRY_SECONDS
             is_renewed = limit.is_first_hand and limit.has_share
             if is_old and limit.rate is not None and not is_renewed:
                 self._dispatcher.state_rate_limit(
@@ -99,15 +99,15 @@
                 )
 
     def _list_tracked(self):
-        oldest = trio.current_time() - _ENDED_TOLD_SECONDS
+        oldest = trio.current_time() - _END_REPORTED_SECONDS
         self._ended_at = {
             name: ended_at
             for name, ended_at in self._ended_at.items()
             if ended_at is None or ended_at > oldest
         }
-        self._told_at = {
-            name: told_at
-            for name, told_at in self._told_at.items()
+        self._reported_at = {
+            name: reported_at
+            for name, reported_at in self._reported_at.items()
             if name in self._ended_at
         }
         return self._find_servers(self._ended_at)
--- a/kumquatsaddle/sharing/survivals.py
+++ b/kumquatsaddle/sharing/survivals.py
@@ -5,14 +5,14 @@
 it fast.
 """
 
-__all__ = ["Survivals"]
+__all__ = ["SurvivalReports"]
 
 # Servers above this estimated failure probability are suspect.
 _SUSPECT_FAILURE_PROBABILITY = 0.04
 _REPORT_DELAY_SECONDS = 0.075
 
 
-class Survivals:
+class SurvivalReports:
     """The suspect servers with requests of this instance that are to be reported."""
 
     def __init__(self):
