--- a/kumquatsaddle/sharing/limits.py
+++ b/kumquatsaddle/sharing/limits.py
@@ -1,7 +1,7 @@
 """Rate limits of backend servers in the reports between instances.
 
-An instance reports to its peers the limits that answers to its own requests stated. What
-others reported it passes on only to an instance that has just started and, as zone
+An instance reports to its peers the limits that answers to its own requests stated.
+What others reported it passes on only to an instance that has just started and, as zone
 leader, to other zones, so that a statement never returns to where it came from.
 """
 
@@ -11,8 +11,8 @@
 
 __all__ = ["SharedLimits"]
 
-# A limit that no instance has reported for this time is dropped: it may have ended while
-# this instance was cut off.
+# A limit that no instance has reported for this time is dropped: it may have ended
+# while this instance was cut off.
 _EXPIRY_SECONDS = 30.0
 # How long the end of a limit is reported.
 _END_REPORTED_SECONDS = 10.0
