--- a/kumquatsaddle/dispatch/tests/steps/dispatcher.py
+++ b/kumquatsaddle/dispatch/tests/steps/dispatcher.py
@@ -391,20 +391,26 @@
         assert (await harness.send(target, False)).status == 200
 
 
-@then_with_harness(
-    "waiting and new requests are refused once the dispatcher stops starting"
-)
-async def check_stopping(harness):
+async def take_slots_and_wait(harness, nursery):
+    """Send one request more than there are slots; return the list for the answers."""
     harness.servers.default = ("late", 0)
     answers = []
 
     async def send(target):
         answers.append(await harness.send(target))
 
+    for number in range(SLOTS + 1):
+        nursery.start_soon(send, f"/{number}")
+        await harness.settle()
+    return answers
+
+
+@then_with_harness(
+    "waiting and new requests are refused once the dispatcher stops starting"
+)
+async def check_stopping(harness):
     async with trio.open_nursery() as nursery:
-        for number in range(SLOTS + 1):
-            nursery.start_soon(send, f"/{number}")
-            await harness.settle()
+        answers = await take_slots_and_wait(harness, nursery)
         harness.dispatcher.stop_starting()
         await harness.settle()
         assert [answer.reason for answer in answers] == [RefusalReason.STOPPING]
@@ -417,17 +423,9 @@
     "waiting and new requests of 2 seconds are refused when a stop ends sooner"
 )
 async def check_outlasting(harness):
-    harness.servers.default = ("late", 0)
     harness.pool.baseline.median = harness.pool.baseline.p99 = 2.0
-    answers = []
-
-    async def send(target):
-        answers.append(await harness.send(target))
-
     async with trio.open_nursery() as nursery:
-        for number in range(SLOTS + 1):
-            nursery.start_soon(send, f"/{number}")
-            await harness.settle()
+        answers = await take_slots_and_wait(harness, nursery)
         harness.dispatcher.plan_stop(trio.current_time() + 1.0)
         assert (await harness.send("/new")).reason is RefusalReason.STOPPING
         harness.servers.release_answer.set()
