Let a test of the follower act between two reports of its peer

Traced to the test: it changed the versions in the peer's report at 2.0 s, when the stand-in peer also reports; trio runs both in any order, and a report after the change took it back, so that nothing was newer and nothing was fetched. The checks are the same.

--- a/kumquatsaddle/discovery/tests/steps/follower.py
+++ b/kumquatsaddle/discovery/tests/steps/follower.py
@@ -255,6 +255,8 @@
 @when("the routes change and the peer reports them but answers no fetch")
 def publish_unfetched(context):
     async def act():
+        # Between two reports of the peer, which would take the versions back.
+        await trio.sleep(0.1)
         harness = context.harness
         harness.follower.exchange = UnansweredExchange()
         harness.store.publish(routes=b"8")
