--- a/review/1/case.py
+++ b/review/1/case.py
@@ -10,13 +10,15 @@
 from world import BOUNDS, Backend, make_route, run_case  # noqa: E402
 
 INSTANCES = 4
-SERVERS = 8
+SERVERS = 10
 SERVICE = "fixdesk"
 TRAFFIC_S = 20.0
 REQUESTS_PER_S = 50
 RUN_S = 0.4
-# The release: one server each second, from this time after the start of the traffic.
-RELEASE_AT_S, RELEASE_GAP_S = 3.0, 1.0
+# The release: 4 of the 10 servers, one each second, from this time after the start of
+# the traffic. The second removal comes after the cut, and further servers start later.
+RELEASED = 4
+RELEASE_AT_S, RELEASE_GAP_S = 4.0, 1.0
 REMOVED_AFTER_S = 0.4
 # A server that leaves serves for DrainMs after its entry was removed and a little
 # longer ("at times many seconds"), then ends.
@@ -75,7 +77,7 @@
         if trouble:
             group.create_task(cut_reader(world, cut))
         await asyncio.sleep(RELEASE_AT_S)
-        await replace_servers(world, servers, removed)
+        await replace_servers(world, servers[:RELEASED], removed)
     replies = traffic.result()
     bound = BOUNDS["DrainMs"] / 1000
     breaches = []
