Let one failed call no longer keep removed servers in use

Cause: any failed call of the instance that reads the store counted as an outage of the store, so that removals of the next second counted as entries that had only expired. The kept entry was stored as a live one under the version of its removal; peers got it as live and, after a further change, never fetched the removal.

Change: an outage is a time of 2.2 s in which the store answered no instance, as reports and summaries tell (StoreOutages). A removal is stored and sent as one, with the time that its server is kept. After a gap the store is asked for an answer at once.

MemoryStore moved to testing/discovery.py as it is.

--- a/kumquatsaddle/discovery/follower.py
+++ b/kumquatsaddle/discovery/follower.py
@@ -124,20 +124,29 @@
 
     def fetch_if_newer(self, peer):
         """Trigger a fetch if the report of a peer shows newer versions."""
+        self.record_store_answer(peer.heard_at - peer.report.read_age)
         if self._has_newer_versions(peer.report):
             self._fetch_needed.set()
 
+    def record_store_answer(self, time):
+        """Record when the store answered an instance, on the clock in seconds."""
+        self.servers.outages.record_answer(time)
+
     def make_update(self, fetch):
         """Return the `Update` that answers a `Fetch` of a peer."""
         row = self.routes_row
         newer = row is not None and row.version > fetch.routes_after
-        changes, complete_version = self.servers.list_changes(fetch.servers_after)
+        changes, complete_version = self.servers.list_changes(
+            fetch.servers_after, self._clock()
+        )
         return Update(
             routes_version=row.version if row is not None else 0,
             routes=row.text if newer else b"",
             servers_version=self.servers.content_version,
             rows=tuple(
-                EncodedRow(row.key, row.version, row.removed, row.text)
+                EncodedRow(
+                    row.key, row.version, row.removed, row.text, row.keep_seconds
+                )
                 for row in changes
             ),
             instances=tuple(self._peers.instances.values())
@@ -151,7 +160,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._fetch_from_peers)
             while True:
-                if self.servers.expire_lapsed(self._clock()):
+                if self.servers.expire_kept(self._clock()):
                     await self._publish_servers()
                 for table in self._tables:
                     if not table.watching and self._should_read(table):
@@ -191,9 +200,15 @@
     async def _read(self, table):
         if table.version is None:
             snapshot = await table.read()
+            self.record_store_answer(self._clock())
             await table.apply_snapshot(snapshot)
         else:
-            snapshot = await table.watch(table.version, _WATCH_TIMEOUT_SECONDS)
+            # After a failure or a change of the reader, the store answers at once, so
+            # that all know soon that it is available.
+            is_recent = self._clock() - table.read_at < RECENT_AGE_SECONDS
+            wait = _WATCH_TIMEOUT_SECONDS if is_recent else 0.0
+            snapshot = await table.watch(table.version, wait)
+            self.record_store_answer(self._clock())
             await table.apply_changes(snapshot)
         if table.confirm_until > self._clock():
             # The read after the loss of history may have been stale.
@@ -228,19 +243,15 @@
         return True
 
     def _record_store_failure(self, table, error):
-        now = self._clock()
-        self.servers.record_call_failure(now)
         if self._store_available:
             self._store_available = False
             log_event("store_lost", level="WARNING", table=table.name, error=error)
 
     def _record_store_success(self, table):
-        now = self._clock()
-        table.read_at = now
+        table.read_at = self._clock()
         if not self._store_available:
             self._store_available = True
             log_event("store_regained", table=table.name, version=table.version)
-        self.servers.record_call_success(now)
 
     async def _apply_server_snapshot(self, snapshot):
         if self.servers.apply_snapshot(snapshot.rows, snapshot.version, self._clock()):
@@ -354,12 +365,14 @@
 
     def _parse_row(self, row):
         record = None
-        if not row.removed:
+        if not row.removed or row.keep_seconds:
             try:
                 record = self._store.parse_server(row.key, row.text)
             except ConfigurationError as error:
                 log_event("backend_entry_invalid", backend=row.key, error=error)
-        return ListedRow(row.key, row.version, record, row.removed, row.text)
+        return ListedRow(
+            row.key, row.version, record, row.removed, row.text, row.keep_seconds
+        )
 
     async def fetch_from_any(self, addresses):
         """Fetch from the first instance that answers; return whether one did."""
--- a/kumquatsaddle/discovery/servers.py
+++ b/kumquatsaddle/discovery/servers.py
@@ -2,21 +2,19 @@
 
 All rows carry versions from one counter, so a row that arrives late or from an old
 replica never replaces a newer one. An entry that is removed around an outage of the
-store may have lapsed only because its server could not renew it. Such an entry is kept
-for a grace period and dropped if the server does not write it again.
+store may have expired only because its server could not renew it. Such a server is kept
+until it had time to write the entry again. The row itself is the removal from the
+start, for this instance and for those that fetch from it; only its record stays in use.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
+from kumquatsaddle.discovery.outages import StoreOutages
 from kumquatsaddle.discovery.records import ServerRecord
 from kumquatsaddle.logs import log_event
 
 __all__ = ["ListedRow", "ServerDirectory"]
 
-# How long lapsed entries are kept after the store answers again.
-_LAPSE_GRACE_SECONDS = 2.2
-# How long after a failed call a removal is treated as a possible lapse.
-_OUTAGE_WINDOW_SECONDS = 1.0
 # Removed rows that are kept for peers that fetch changes.
 _MAX_REMOVED_ROWS = 2000
 
@@ -30,10 +28,12 @@
     key : str
     version : int
     record : ServerRecord or None
-        None if the entry was removed or is invalid.
+        None if the entry is invalid or was removed, unless its server is kept in use.
     removed : bool
     text : bytes
         The entry in the encoding of the platform, for other instances.
+    keep_seconds : float, default=0.0
+        In a removal from a peer: how long its server is kept in use from now on.
     """
 
     key: str
@@ -41,6 +41,7 @@
     record: ServerRecord | None
     removed: bool = False
     text: bytes = b""
+    keep_seconds: float = 0.0
 
 
 class ServerDirectory:
@@ -48,6 +49,8 @@
 
     Attributes
     ----------
+    outages : StoreOutages
+        The owner records there when the store answers an instance.
     version : int
         Newest version of the store up to which all changes are known.
     content_version : int
@@ -59,24 +62,13 @@
     """
 
     def __init__(self):
+        self.outages = StoreOutages()
         self.version = 0
         self.content_version = 0
         self.history_start = 0
         self._rows = {}
-        self._lapse_deadlines = {}
-        self._outage_until = float("-inf")
-
-    def record_call_failure(self, now):
-        """Record a failed call; lapsed entries are kept until the store answers."""
-        self._outage_until = now + _OUTAGE_WINDOW_SECONDS
-        for key in self._lapse_deadlines:
-            self._lapse_deadlines[key] = float("inf")
-
-    def record_call_success(self, now):
-        """Record a successful call; it starts the grace period of lapsed entries."""
-        for key, due in self._lapse_deadlines.items():
-            if due == float("inf"):
-                self._lapse_deadlines[key] = now + _LAPSE_GRACE_SECONDS
+        # Until when the servers of removed entries are kept, by key.
+        self._kept_until = {}
 
     def apply_changes(self, rows, version, now):
         """Apply changed rows up to a version; return whether the list changed.
@@ -106,9 +98,8 @@
 
         Notes
         -----
-        A removal is final: the peer has kept an entry that may have lapsed for its
-        grace period. An entry that is only missing may have lapsed before the peer
-        started.
+        A removal is final unless the peer keeps the server. An entry that is only
+        missing may have expired before the peer started.
         """
         if complete_version:
             changed = self.apply_snapshot(rows, complete_version, now, from_peer=True)
@@ -147,14 +138,19 @@
         changed = self._apply_rows(rows.values(), version, now, from_peer)
         return self._apply_rows(missing, version, now) or changed
 
-    def expire_lapsed(self, now):
-        """Drop entries whose grace period is over; return whether there were any."""
-        due = [key for key, time in self._lapse_deadlines.items() if time <= now]
+    def expire_kept(self, now):
+        """Drop the servers whose time to return is over; return whether there were any.
+
+        None is dropped while the store answers no instance: until it does, no server
+        can return.
+        """
+        if self.outages.is_out(now) or self.outages.get_return_deadline(now) > now:
+            return False
+        due = [key for key, until in self._kept_until.items() if until <= now]
         for key in due:
-            del self._lapse_deadlines[key]
+            del self._kept_until[key]
             row = self._rows[key]
             self._rows[key] = ListedRow(key, row.version, None, removed=True)
-            self.content_version = max(self.content_version, row.version)
             log_event("backend_lapsed", backend=key, version=row.version)
         return bool(due)
 
@@ -166,9 +162,16 @@
         """Return the keys of all entries that were not removed."""
         return [row.key for row in self._rows.values() if not row.removed]
 
-    def list_changes(self, after):
+    def list_changes(self, after, now):
         """Return the rows for a peer that knows the list as of a version.
 
+        Parameters
+        ----------
+        after : int
+            The version that the peer knows.
+        now : float
+            In seconds.
+
         Returns
         -------
         rows : list of ListedRow
@@ -177,8 +180,19 @@
             changed after `after`.
         """
         if after < self.history_start:
-            return list(self._rows.values()), self.version
-        return [row for row in self._rows.values() if row.version > after], 0
+            rows, complete_version = self._rows.values(), self.version
+        else:
+            rows = [row for row in self._rows.values() if row.version > after]
+            complete_version = 0
+        return [self._state_keeping(row, now) for row in rows], complete_version
+
+    def _state_keeping(self, row, now):
+        """Return a row that tells a peer how long its server is kept."""
+        until = self._kept_until.get(row.key)
+        if until is None:
+            return row
+        until = max(until, self.outages.get_return_deadline(now))
+        return replace(row, keep_seconds=max(0.0, until - now))
 
     def _apply_rows(self, rows, version, now, from_peer=False):
         changed, is_first = False, not self._rows
@@ -190,37 +204,62 @@
         self._prune_removed()
         return changed
 
-    def _apply_row(self, row, now, is_logged, is_final):
+    def _apply_row(self, row, now, is_logged, from_peer):
         known = self._rows.get(row.key)
-        if known is not None and not self._is_newer(row, known, is_final):
+        if known is not None and not self._is_newer(row, known):
             return False
-        if row.removed and known is not None and known.record is not None:
-            in_outage = now < self._outage_until and not is_final
-            if in_outage and not known.record.draining:
-                # Keep the old record for a grace period; see `expire_lapsed`.
-                kept = ListedRow(row.key, row.version, known.record, text=known.text)
-                self._rows[row.key] = kept
-                self._lapse_deadlines.setdefault(row.key, now + _LAPSE_GRACE_SECONDS)
-                log_event("backend_missing", backend=row.key, version=row.version)
-                return False
-        if is_final or not row.removed:
-            self._lapse_deadlines.pop(row.key, None)
-        self._rows[row.key] = row
+        if row.removed:
+            kept = self._find_kept_record(row, known)
+            until = self._compute_kept_until(row, now, from_peer)
+            if kept is not None and until > now:
+                return self._keep_server(row, kept, until, is_new=known is None)
+        self._kept_until.pop(row.key, None)
+        record = None if row.removed else row.record
+        self._rows[row.key] = replace(row, record=record, keep_seconds=0.0)
         before = known.record if known is not None else None
-        if known is not None and before == row.record:
+        if known is not None and before == record:
+            if known.removed != row.removed:
+                self.content_version = max(self.content_version, row.version)
             return False
         self.content_version = max(self.content_version, row.version)
         if is_logged:
-            self._log_row(row, before)
+            self._log_row(self._rows[row.key], before)
         return True
 
-    def _is_newer(self, row, known, is_final):
+    def _is_newer(self, row, known):
         """Return whether a row replaces the known one with the same key."""
-        if is_final and row.removed and row.key in self._lapse_deadlines:
-            # The peer's grace period for the same removal is over.
+        if row.removed and row.key in self._kept_until and not row.keep_seconds:
+            # Another instance knows the same removal to be final.
             return row.version >= known.version
         return row.version > known.version
 
+    def _find_kept_record(self, row, known):
+        """Return the record of a removed server that may return, or None."""
+        record = known.record if known is not None else row.record
+        return record if record is not None and not record.draining else None
+
+    def _compute_kept_until(self, row, now, from_peer):
+        """Return until when the server of a removed entry is kept.
+
+        A peer has read the removal and knows whether the entry may have expired in an
+        outage; its row has the time that is left.
+        """
+        if from_peer:
+            return now + row.keep_seconds
+        return self.outages.get_return_deadline(now)
+
+    def _keep_server(self, row, record, until, is_new):
+        """Keep a server whose entry may have expired; return whether it is new."""
+        known = self._rows.get(row.key)
+        text = known.text if known is not None else row.text
+        self._rows[row.key] = ListedRow(
+            row.key, row.version, record, removed=True, text=text
+        )
+        self._kept_until[row.key] = until
+        self.content_version = max(self.content_version, row.version)
+        log_event("backend_missing", backend=row.key, version=row.version)
+        return is_new
+
     def _log_first_list(self):
         """Log the first list grouped by service and state, not per server."""
         groups = {}
--- a/kumquatsaddle/discovery/tests/steps/follower.py
+++ b/kumquatsaddle/discovery/tests/steps/follower.py
@@ -7,16 +7,9 @@
 from hypothesis import strategies as st
 
 from kumquatsaddle.discovery.follower import make_follower
-from kumquatsaddle.discovery.records import InstanceRecord, ServerRecord
 from kumquatsaddle.discovery.servers import ListedRow
 from kumquatsaddle.discovery.store import RouteRow, Snapshot
-from kumquatsaddle.exceptions import (
-    ConfigurationError,
-    HistoryLostError,
-    MessageError,
-)
-from kumquatsaddle.routes import make_route_table
-from kumquatsaddle.settings.parsers import Address
+from kumquatsaddle.exceptions import MessageError
 from kumquatsaddle.sharing.messages import (
     EncodedRow,
     Fetch,
@@ -26,76 +19,12 @@
     encode_update,
 )
 from kumquatsaddle.sharing.peers import PeerTable
-
-RECORD = ServerRecord("a", 1, "s", Address("127.0.0.1", 1), "z", 6, False)
-
-
-def make_instance(name):
-    address = Address("127.0.0.1", 2)
-    return InstanceRecord(name, "z", address, address)
-
-
-class MemoryStore:
-    """An in-memory store whose watches wait on the clock of the test."""
-
-    def __init__(self):
-        self.version = 1
-        self.history_start = 0
-        self.rows = [ListedRow("a", 1, RECORD)]
-        self.routes = [RouteRow(1, b"7")]
-        self.calls = []
-        self.stale_rows = None
-
-    def publish(self, draining=None, routes=None):
-        self.version += 1
-        if draining is not None:
-            record = replace(RECORD, draining=draining)
-            self.rows = [ListedRow("a", self.version, record)]
-        if routes is not None:
-            self.routes = [RouteRow(self.version, routes)]
-
-    async def read_servers(self):
-        return self._read(self.rows if self.stale_rows is None else self.stale_rows[0])
-
-    async def read_routes(self):
-        return self._read(
-            self.routes if self.stale_rows is None else self.stale_rows[1]
-        )
-
-    async def confirm_servers(self, keys):
-        return self._read([row for row in self.rows if row.key in keys])
-
-    async def confirm_routes(self):
-        return self._read(self.routes)
-
-    async def watch_servers(self, after, wait):
-        return await self._watch(lambda: self.rows, after, wait)
-
-    async def watch_routes(self, after, wait):
-        return await self._watch(lambda: self.routes, after, wait)
-
-    def parse_routes(self, text):
-        if not text.isdigit():
-            raise ConfigurationError("routes are not a number")
-        return make_route_table(int(text), [], {})
-
-    def parse_server(self, key, text):
-        return replace(RECORD, draining=text == b"draining")
-
-    def _read(self, rows):
-        self.calls.append(trio.current_time())
-        return Snapshot(list(rows), self.version)
-
-    async def _watch(self, get_rows, after, wait):
-        self.calls.append(trio.current_time())
-        end = trio.current_time() + wait
-        while True:
-            if after < self.history_start:
-                raise HistoryLostError("changes are no longer stored")
-            new = [row for row in get_rows() if row.version > after]
-            if new or trio.current_time() >= end:
-                return Snapshot(new, self.version)
-            await trio.sleep(0.05)
+from kumquatsaddle.testing.discovery import (
+    RECORD,
+    MemoryStore,
+    make_instance,
+    make_listed_row,
+)
 
 
 class FollowerHarness:
@@ -354,15 +283,13 @@
 
 @then("its update lists the instances only if the fetch asks for them")
 def check_instances(context):
-    follower, _ = make_idle_follower()
-    assert follower.make_update(Fetch("b", 0, 0)).instances == ()
-    listed = follower.make_update(Fetch("b", 0, 0, wants_instances=True)).instances
-    assert [record.name for record in listed] == ["m"]
-
+    async def run():
+        follower, _ = make_idle_follower()
+        assert follower.make_update(Fetch("b", 0, 0)).instances == ()
+        listed = follower.make_update(Fetch("b", 0, 0, wants_instances=True)).instances
+        assert [record.name for record in listed] == ["m"]
 
-def make_listed_row(name, version, removed=False):
-    record = None if removed else replace(RECORD, name=name)
-    return ListedRow(name, version, record, removed)
+    trio.run(run)
 
 
 async def read_list(follower, version, rows):
@@ -415,12 +342,19 @@
 @then("a server that may only have lapsed is kept while the store does not answer")
 def check_lapse(context):
     async def act(follower, older, newer):
-        follower.servers.record_call_failure(trio.current_time())
+        follower.record_store_answer(trio.current_time())
+        await trio.sleep(5)
         await fetch_from(follower, newer)
         assert list_names(follower) == ["a", "b"]
-        follower.servers.record_call_success(trio.current_time())
+        await trio.sleep(5)
+        follower.servers.expire_kept(trio.current_time())
+        assert list_names(follower) == ["a", "b"]
+        follower.record_store_answer(trio.current_time())
+        follower.servers.expire_kept(trio.current_time())
+        assert list_names(follower) == ["a", "b"]
         await trio.sleep(3)
-        follower.servers.expire_lapsed(trio.current_time())
+        follower.record_store_answer(trio.current_time() - 1)
+        follower.servers.expire_kept(trio.current_time())
         assert list_names(follower) == ["a"]
 
     run_with_followers(act)
@@ -431,7 +365,8 @@
     async def act(follower, older, newer):
         removal = make_listed_row("b", 50, removed=True)
         await older._apply_server_changes(Snapshot([removal], 50))
-        follower.servers.record_call_failure(trio.current_time())
+        follower.record_store_answer(trio.current_time())
+        await trio.sleep(5)
         await fetch_from(follower, older)
         assert list_names(follower) == ["a"]
 
--- a/kumquatsaddle/lifecycle/routed_node.py
+++ b/kumquatsaddle/lifecycle/routed_node.py
@@ -163,6 +163,10 @@
         """Return the age of the last known state of the store, in seconds."""
         return self.follower.get_read_age()
 
+    def record_store_answer(self, time):
+        """Record when the store answered an instance, on the clock of trio."""
+        self.follower.record_store_answer(time)
+
     def make_update(self, fetch):
         """Return the update that answers the fetch of a peer."""
         return self.follower.make_update(fetch)
--- a/kumquatsaddle/sharing/exchange.py
+++ b/kumquatsaddle/sharing/exchange.py
@@ -381,6 +381,7 @@
         if zone == self.peers.own.zone or not self._zone_summaries.accept(report, now):
             return
         self.peers.add_instance(report.sender, now)
+        self._node.record_store_answer(now - report.read_age)
         if host == report.sender.control.host:
             # Relay only what came directly from the other zone. Partial summaries
             # carry failures, which matter to the instances that callers are sent to.
--- a/kumquatsaddle/sharing/messages.py
+++ b/kumquatsaddle/sharing/messages.py
@@ -134,12 +134,23 @@
 
 @dataclass(frozen=True, slots=True)
 class EncodedRow:
-    """An entry of the list of backend servers as the platform encodes it."""
+    """An entry of the list of backend servers as the platform encodes it.
+
+    Parameters
+    ----------
+    key : str
+    version : int
+    removed : bool
+    text : bytes
+    keep_seconds : float, default=0.0
+        How long the server of a removed entry stays in use.
+    """
 
     key: str
     version: int
     removed: bool
     text: bytes
+    keep_seconds: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -249,6 +260,7 @@
     for target, row in zip(rows, update.rows, strict=True):
         target.key, target.version = row.key, row.version
         target.removed, target.text = row.removed, row.text
+        target.keepMs = int(min(row.keep_seconds, _MAX_AGE_SECONDS) * 1000)
     instances = message.init("instances", len(update.instances))
     for target, item in zip(instances, update.instances, strict=True):
         target.name, target.zone = item.name, item.zone
@@ -360,7 +372,9 @@
         routes=bytes(message.routes),
         servers_version=message.serversVersion,
         rows=tuple(
-            EncodedRow(row.key, row.version, row.removed, bytes(row.text))
+            EncodedRow(
+                row.key, row.version, row.removed, bytes(row.text), row.keepMs / 1000
+            )
             for row in message.rows
         ),
         instances=tuple(_convert_instance(item) for item in message.instances),
--- a/kumquatsaddle/sharing/reports.capnp
+++ b/kumquatsaddle/sharing/reports.capnp
@@ -63,6 +63,9 @@
   version @1 :UInt64;
   removed @2 :Bool;
   text @3 :Data;
+  # How long the server of a removed entry stays in use, because the entry may have
+  # expired in an outage of the store. The text is then the entry before.
+  keepMs @4 :UInt32;
 }
 
 struct Instance {
--- a/kumquatsaddle/sharing/tests/steps/exchange.py
+++ b/kumquatsaddle/sharing/tests/steps/exchange.py
@@ -166,7 +166,12 @@
         st.integers(0, 60000),
     )
     rows = st.builds(
-        messages.EncodedRow, names, numbers, st.booleans(), st.binary(max_size=9)
+        messages.EncodedRow,
+        names,
+        numbers,
+        st.booleans(),
+        st.binary(max_size=9),
+        st.integers(0, 9).map(float),
     )
     reports = st.builds(
         messages.Report,
--- /dev/null
+++ b/kumquatsaddle/testing/discovery.py
@@ -0,0 +1,273 @@
+"""Stand-ins for the store and the peers of followers."""
+
+from dataclasses import replace
+
+import trio
+
+from kumquatsaddle.discovery.follower import make_follower
+from kumquatsaddle.discovery.records import InstanceRecord, ServerRecord
+from kumquatsaddle.discovery.servers import ListedRow
+from kumquatsaddle.discovery.store import RouteRow, Snapshot
+from kumquatsaddle.exceptions import (
+    ConfigurationError,
+    HistoryLostError,
+    MessageError,
+    PlatformUnavailableError,
+)
+from kumquatsaddle.routes import make_route_table
+from kumquatsaddle.settings.parsers import Address
+from kumquatsaddle.sharing.messages import (
+    Fetch,
+    Report,
+    decode_update,
+    encode_update,
+)
+from kumquatsaddle.sharing.peers import PeerTable
+
+__all__ = [
+    "RECORD",
+    "FollowerFleet",
+    "MemoryStore",
+    "PartitionedStore",
+    "make_instance",
+    "make_listed_row",
+]
+
+RECORD = ServerRecord("a", 1, "s", Address("127.0.0.1", 1), "z", 6, False)
+_REPORT_INTERVAL_SECONDS = 0.4
+
+
+def make_instance(name, port=2):
+    """Return the record of an instance."""
+    address = Address("127.0.0.1", port)
+    return InstanceRecord(name, "z", address, address)
+
+
+def make_listed_row(name, version, removed=False):
+    """Return a row of the list of servers."""
+    record = None if removed else replace(RECORD, name=name)
+    return ListedRow(name, version, record, removed, text=name.encode())
+
+
+class MemoryStore:
+    """An in-memory store whose watches wait on the clock of the test.
+
+    Attributes
+    ----------
+    calls : list of float
+        When it was called.
+    stale_rows : tuple of list, or None
+        Servers and routes that reads return in place of the current ones.
+    """
+
+    def __init__(self):
+        self.version = 1
+        self.history_start = 0
+        self.rows = [ListedRow("a", 1, RECORD)]
+        self.routes = [RouteRow(1, b"7")]
+        self.calls = []
+        self.stale_rows = None
+
+    def write_server(self, name, removed=False):
+        """Write or remove the entry of a server."""
+        self.version += 1
+        others = [row for row in self.rows if row.key != name]
+        self.rows = [*others, make_listed_row(name, self.version, removed)]
+
+    def publish(self, draining=None, routes=None):
+        """Write whether server "a" drains, or new routes."""
+        self.version += 1
+        if draining is not None:
+            record = replace(RECORD, draining=draining)
+            self.rows = [ListedRow("a", self.version, record)]
+        if routes is not None:
+            self.routes = [RouteRow(self.version, routes)]
+
+    async def read_servers(self):
+        """Return all servers."""
+        return self._read(self.rows if self.stale_rows is None else self.stale_rows[0])
+
+    async def read_routes(self):
+        """Return the routes."""
+        return self._read(
+            self.routes if self.stale_rows is None else self.stale_rows[1]
+        )
+
+    async def confirm_servers(self, keys):
+        """Return the current entries of some servers."""
+        return self._read([row for row in self.rows if row.key in keys])
+
+    async def confirm_routes(self):
+        """Return the current routes."""
+        return self._read(self.routes)
+
+    async def watch_servers(self, after, wait):
+        """Return the servers that changed after a version."""
+        return await self._watch(lambda: self.rows, after, wait)
+
+    async def watch_routes(self, after, wait):
+        """Return the routes if they changed after a version."""
+        return await self._watch(lambda: self.routes, after, wait)
+
+    def parse_routes(self, text):
+        """Return a table whose version is the text."""
+        if not text.isdigit():
+            raise ConfigurationError("routes are not a number")
+        return make_route_table(int(text), [], {})
+
+    def parse_server(self, key, text):
+        """Return the record of a server."""
+        return replace(RECORD, draining=text == b"draining")
+
+    def _read(self, rows):
+        self.calls.append(trio.current_time())
+        return Snapshot(list(rows), self.version)
+
+    async def _watch(self, get_rows, after, wait):
+        self.calls.append(trio.current_time())
+        end = trio.current_time() + wait
+        while True:
+            if after < self.history_start:
+                raise HistoryLostError("changes are no longer stored")
+            new = [row for row in get_rows() if row.version > after]
+            if new or trio.current_time() >= end:
+                return Snapshot(new, self.version)
+            await trio.sleep(0.05)
+
+
+class PartitionedStore:
+    """The store as one instance reaches it.
+
+    Parameters
+    ----------
+    store : MemoryStore
+    """
+
+    def __init__(self, store):
+        self._store = store
+        self._is_cut = False
+        self._calls = set()
+
+    def cut(self):
+        """Break the calls in progress and fail the further ones."""
+        self._is_cut = True
+        for scope in self._calls:
+            scope.cancel()
+
+    def heal(self):
+        """Let calls pass again."""
+        self._is_cut = False
+
+    def __getattr__(self, name):
+        method = getattr(self._store, name)
+        if name.startswith("parse_"):
+            return method
+
+        async def call(*arguments):
+            if self._is_cut:
+                raise PlatformUnavailableError("no path to the store")
+            with trio.CancelScope() as scope:
+                self._calls.add(scope)
+                try:
+                    return await method(*arguments)
+                finally:
+                    self._calls.remove(scope)
+            raise PlatformUnavailableError("the call was cut off")
+
+        return call
+
+
+class _FleetExchange:
+    """Fetches from the followers of a fleet directly."""
+
+    def __init__(self, fleet, name):
+        self._fleet = fleet
+        self._name = name
+
+    def report_now(self):
+        """Report at the next interval, as if this report were lost."""
+
+    async def fetch(self, address, routes_after, servers_after, timeout, wants):
+        """Return the update of the follower at an address."""
+        names = [record.name for record in self._fleet.records.values()]
+        fetch = Fetch(self._name, routes_after, servers_after, wants)
+        for name in names:
+            if self._fleet.records[name].control == address:
+                update = self._fleet.followers[name].make_update(fetch)
+                return decode_update(encode_update(update))
+        raise MessageError(f"no instance at {address}")
+
+
+class FollowerFleet:
+    """Followers of one zone on one store, which report to each other.
+
+    Parameters
+    ----------
+    names : sequence of str
+
+    Attributes
+    ----------
+    store : MemoryStore
+    access : dict of str to PartitionedStore
+    followers : dict of str to Follower
+    """
+
+    def __init__(self, names):
+        self.store = MemoryStore()
+        self.store.rows = []
+        self.store.parse_server = lambda key, text: replace(RECORD, name=key)
+        self.records = {
+            name: make_instance(name, port) for port, name in enumerate(names, 2)
+        }
+        self.access = {name: PartitionedStore(self.store) for name in names}
+        self.followers = {name: self._make_follower(name) for name in names}
+
+    def list_servers(self, name):
+        """Return the names of the servers that an instance uses, sorted."""
+        records = self.followers[name].servers.list_records()
+        return sorted(record.name for record in records)
+
+    async def run(self):
+        """Run the followers and their reports until cancelled."""
+        async with trio.open_nursery() as nursery:
+            for follower in self.followers.values():
+                nursery.start_soon(follower.run)
+            nursery.start_soon(self._report)
+
+    def _make_follower(self, name):
+        async def on_servers(records):
+            pass
+
+        peers = PeerTable(self.records[name])
+        follower = make_follower(
+            self.access[name], peers, on_servers, lambda routes: None
+        )
+        follower.exchange = _FleetExchange(self, name)
+        return follower
+
+    async def _report(self):
+        sequence = 0
+        while True:
+            sequence += 1
+            for name, follower in self.followers.items():
+                self._deliver_report(name, follower, sequence)
+            await trio.sleep(_REPORT_INTERVAL_SECONDS)
+
+    def _deliver_report(self, name, follower, sequence):
+        row = follower.routes_row
+        report = Report(
+            self.records[name],
+            1,
+            sequence,
+            True,
+            False,
+            row.version if row is not None else 0,
+            follower.servers.content_version,
+            min(follower.get_read_age(), 1000.0),
+            (),
+            interval=_REPORT_INTERVAL_SECONDS,
+        )
+        for other in self.followers.values():
+            if other is not follower:
+                peer = other._peers.accept_report(report, trio.current_time())
+                other.fetch_if_newer(peer)
--- a/kumquatsaddle/testing/exchanges.py
+++ b/kumquatsaddle/testing/exchanges.py
@@ -34,6 +34,9 @@
         """Return the time since the store was read, in seconds."""
         return 60.0
 
+    def record_store_answer(self, time):
+        """Record nothing."""
+
     def fetch_if_newer(self, peer):
         """Fetch nothing."""
 
