Send no request to a service whose weight is 0

Cause: such a service took part in the choice with the credit that it had left or with its random first one, and was chosen if that exceeded all others.

Change: only services of a positive weight have credits and are chosen from.

The new property of table.feature fails without the change (9 passed, 1 failed) and passes with it.

--- a/kumquatsaddle/routes/table.py
+++ b/kumquatsaddle/routes/table.py
@@ -166,7 +166,7 @@
 
     Smooth weighted round robin: each request goes to the service that is furthest
     behind its weight, so that after any number of requests each service is within two
-    requests of its weight.
+    requests of its weight. A service of weight 0 gets none, whatever it had before.
 
     Parameters
     ----------
@@ -186,16 +186,17 @@
 
     def choose_service(self, route):
         """Return the service of the next request of a route."""
-        if len(route.shares) == 1:
-            return route.shares[0].service
+        shares = [share for share in route.shares if share.weight > 0]
+        if len(shares) == 1:
+            return shares[0].service
         credits = self._credits.get(route.name)
-        if credits is None or set(credits) != {share.service for share in route.shares}:
-            credits = {share.service: self._random.random() for share in route.shares}
+        if credits is None or set(credits) != {share.service for share in shares}:
+            credits = {share.service: self._random.random() for share in shares}
             self._credits[route.name] = credits
-        total = sum(share.weight for share in route.shares)
-        for share in route.shares:
+        total = sum(share.weight for share in shares)
+        for share in shares:
             credits[share.service] += share.weight / total
-        chosen = max(route.shares, key=lambda share: credits[share.service]).service
+        chosen = max(shares, key=lambda share: credits[share.service]).service
         credits[chosen] -= 1.0
         return chosen
 
--- a/kumquatsaddle/routes/tests/steps/table.py
+++ b/kumquatsaddle/routes/tests/steps/table.py
@@ -90,3 +90,21 @@
         assert error.field == "r", error
     else:
         raise AssertionError(f"accepted: {fault}")
+
+
+@then("no service gets a request while its weight is 0, whatever the weights before")
+def check_zero_weights(context):
+    weights = st.tuples(*[st.sampled_from([0, 1, 5, 10, 90])] * 3).filter(any)
+    versions = st.lists(st.tuples(weights, st.integers(0, 30)), min_size=1, max_size=5)
+
+    @for_all(versions, st.integers(0, 9))
+    def check(history, seed):
+        counter = WeightedRoundRobin(Random(seed))
+        for version, number in history:
+            shares = zip("abc", version, strict=True)
+            route = make_route(shares=tuple(RouteShare(*share) for share in shares))
+            for _ in range(number):
+                chosen = counter.choose_service(route)
+                assert version["abc".index(chosen)] > 0, (history, chosen)
+
+    check()
