Act on what backend servers say of themselves, and block fatal requests

Servers may say in any answer that they leave, or ask one instance for a pause with status 503 and Retry-After; nothing read either.

Leaving: the incarnation gets nothing more from an instance that was told, its peers or other zones, whatever lists say later; requests are withdrawn before the first byte, and waiting ones are refused if all servers leave. Pause: bounded to an hour, spread ends, return one by one, no evidence of a fault, refusals name the time. Fatal requests: ends of servers are counted by a digest of the content over all instances; an end counts only if its attempt began after the one counted before, an answer clears the digest, the second end blocks it. kumquatsaddle-ctl lists and unblocks.

It is one commit because the three share the attempt, the report and their tests; limits, departures and ends now travel as Announcements.

--- a/deploy/tests/harness.py
+++ b/deploy/tests/harness.py
@@ -36,7 +36,7 @@
         self.server = ServerStandin()
         self.stopped = trio.Event()
 
-    async def start(self, configured):
+    async def start(self, configured, sections):
         url = f"http://{await start_standin(self.nursery, self.store)}"
         self.address = await start_standin(self.nursery, self.server)
         self.list_server()
@@ -51,6 +51,7 @@
             listen=listen,
             platform={"kind": "http", "url": url, "timeout": "1"},
             stop={"notice": "0.2", "grace": "3"},
+            **sections,
         )
         parts = DeploymentParts(
             make_store_client(settings), CALLERS, BACKENDS, make_pages
@@ -106,10 +107,11 @@
 
 
 @asynccontextmanager
-async def open_harness(configured):
+async def open_harness(configured, **sections):
+    """Run an instance; `sections` are further sections of its settings."""
     async with trio.open_nursery() as nursery:
         harness = InstanceHarness(nursery)
-        await harness.start(configured)
+        await harness.start(configured, sections)
         yield harness
         nursery.cancel_scope.cancel()
 
--- a/deploy/tests/standin.py
+++ b/deploy/tests/standin.py
@@ -95,6 +95,7 @@
         self.received = []
         self.delay_seconds = 0.0
         self.status = 200
+        self.headers = []
 
     async def handle(self, method, target, headers, body):
         """Answer one request."""
@@ -103,6 +104,7 @@
         signed = [
             ("X-Request-Id", headers.get("x-request-id", "")),
             ("X-Response-Signature", "signed"),
+            *self.headers,
         ]
         return Reply(self.status, b"answer to " + target.encode(), signed)
 
--- a/kumquatsaddle/balance/attempts.py
+++ b/kumquatsaddle/balance/attempts.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from kumquatsaddle.balance.pauses import read_pause
 from kumquatsaddle.dispatch.answers import RawAnswer
 from kumquatsaddle.dispatch.connections import ExchangeError
 from kumquatsaddle.dispatch.protocol import MISDIRECTED_STATUS
@@ -14,6 +15,7 @@
 __all__ = [
     "NOT_RUN_OUTCOMES",
     "RETRY_REASONS",
+    "UNSENT_OUTCOMES",
     "AttemptOutcome",
     "AttemptResult",
     "run_attempt",
@@ -37,6 +39,8 @@
     MISDIRECTED = "misdirected"
     # No byte of the request was written.
     UNREACHABLE = "unreachable"
+    # The server stopped taking requests before a byte was written.
+    WITHDRAWN = "withdrawn"
     # No answer arrived before the deadline, or the request was not written before it.
     LATE = "late"
     # The server answered 504 at the deadline that the request header gave.
@@ -48,13 +52,17 @@
     AttemptOutcome.SHED,
     AttemptOutcome.MISDIRECTED,
     AttemptOutcome.UNREACHABLE,
+    AttemptOutcome.WITHDRAWN,
 )
+# Outcomes after which no byte of the request was written.
+UNSENT_OUTCOMES = (AttemptOutcome.UNREACHABLE, AttemptOutcome.WITHDRAWN)
 RETRY_REASONS = {
     AttemptOutcome.FAILED: RetryReason.BACKEND_ERROR,
     AttemptOutcome.LOST: RetryReason.ANSWER_TRUNCATED,
     AttemptOutcome.SHED: RetryReason.BACKEND_SHED,
     AttemptOutcome.MISDIRECTED: RetryReason.ANSWER_MISMATCH,
     AttemptOutcome.UNREACHABLE: RetryReason.CONNECT_FAILED,
+    AttemptOutcome.WITHDRAWN: RetryReason.BACKEND_WITHDRAWN,
     AttemptOutcome.LATE: RetryReason.ANSWER_LATE,
     AttemptOutcome.TIMED_OUT: RetryReason.ANSWER_LATE,
 }
@@ -76,6 +84,16 @@
     answer: Answer
     raw: RawAnswer | None = None
 
+    @property
+    def is_unanswered(self):
+        """Whether the connection ended without an answer to a request written to it."""
+        return self.outcome is AttemptOutcome.LOST and self.raw is None
+
+    @property
+    def asks_for_pause(self):
+        """Whether the server asked this instance to send nothing for a time."""
+        return self.raw is not None and read_pause(self.raw) is not None
+
 
 async def run_attempt(server, request, protocol, max_answer_bytes, memory):
     """Send a request to a server and return the `AttemptResult`.
@@ -92,10 +110,13 @@
     connection = raw = None
     written = False
 
-    def check_deadline_before_write():
+    def check_before_write():
         nonlocal written
-        if trio.current_time() >= request.deadline:
+        now = trio.current_time()
+        if now >= request.deadline:
             raise ExchangeError(RefusalReason.DEADLINE, False)
+        if not server.accepts_started(now):
+            raise ExchangeError(RefusalReason.NO_BACKEND, False)
         written = True
 
     try:
@@ -107,7 +128,7 @@
                 _make_headers(protocol, server, request),
                 request.body,
                 max_answer_bytes,
-                check_deadline_before_write,
+                check_before_write,
                 memory,
             )
     except ExchangeError as error:
@@ -140,6 +161,9 @@
     """Return the result of an attempt without a whole answer."""
     if error.written:
         return AttemptResult(AttemptOutcome.LOST, Answer.from_reason(error.reason))
+    if error.reason is RefusalReason.NO_BACKEND:
+        answer = Answer.from_reason(RefusalReason.NO_BACKEND)
+        return AttemptResult(AttemptOutcome.WITHDRAWN, answer)
     if error.reason is RefusalReason.DEADLINE:
         answer = Answer.from_reason(RefusalReason.NO_BACKEND)
         return AttemptResult(AttemptOutcome.LATE, answer)
--- a/kumquatsaddle/balance/dispatcher.py
+++ b/kumquatsaddle/balance/dispatcher.py
@@ -5,22 +5,28 @@
 failure. Retries stay within the budget of the service.
 """
 
+from dataclasses import replace
+
 import trio
 
+from kumquatsaddle.balance.announcements import apply_announcements
 from kumquatsaddle.balance.attempts import (
     NOT_RUN_OUTCOMES,
     RETRY_REASONS,
+    UNSENT_OUTCOMES,
     AttemptOutcome,
     run_attempt,
 )
 from kumquatsaddle.balance.averages import RouteAverages
 from kumquatsaddle.balance.budget import RetryLimits
+from kumquatsaddle.balance.departures import Departures
+from kumquatsaddle.balance.end_records import EndRecords
 from kumquatsaddle.balance.pool import BalancedPool
 from kumquatsaddle.dispatch.answers import AnswerMemory
-from kumquatsaddle.dispatch.rate_limits import WHOLE_RATE, read_rate
+from kumquatsaddle.dispatch.rate_limits import WHOLE_RATE
 from kumquatsaddle.dispatch.retries import choose_answer
 from kumquatsaddle.dispatch.starts import StartLimit
-from kumquatsaddle.exceptions import RateLimitedError
+from kumquatsaddle.exceptions import RefusedError
 from kumquatsaddle.exchange import Answer
 from kumquatsaddle.logs import log_event
 from kumquatsaddle.types import Outcome, RefusalReason
@@ -61,6 +67,11 @@
         `Observation`, or None if it showed nothing new.
     on_limit_changed : callable
         Called with a server when the rate limit that it states has changed.
+    on_departure : callable
+        Called with a server that has said that it leaves, and whether it said so to
+        this instance.
+    end_records : EndRecords
+        Ends of servers under requests.
     compute_limit_share : callable
         Returns the `RateShare` of this instance for a server with a limit and the
         zones in which its service has servers; default: all of it.
@@ -77,10 +88,13 @@
         self.on_load_changed = lambda server: None
         self.on_answer = lambda server, observation: None
         self.on_limit_changed = lambda server: None
+        self.on_departure = lambda server, is_first_hand: None
         self.compute_limit_share = lambda server, supplied_zones: WHOLE_RATE
         self._zone = zone
         self._unattended = frozenset()
         self._start_limit = StartLimit()
+        self._departures = Departures()
+        self.end_records = EndRecords(metrics)
 
     async def update_servers(self, records):
         """Replace the list of backend servers and close those no longer in it.
@@ -137,6 +151,35 @@
             self.on_limit_changed(server)
             pool.assign_waiting()
 
+    def record_departure(self, name, started_at_ms, is_first_hand=True):
+        """Send nothing more to a server that has said that it leaves.
+
+        Parameters
+        ----------
+        name : BackendId
+        started_at_ms : int
+            Which incarnation said so, in milliseconds since the epoch; another one
+            under the same name is not affected.
+        is_first_hand : bool, default=True
+            Whether it said so to this instance.
+        """
+        if not self._departures.add(name, started_at_ms):
+            return
+        server = self.find_server(name)
+        if server is None or server.record.started_at_ms != started_at_ms:
+            return
+        server.leaving = True
+        log_event(
+            "backend_leaving",
+            backend=name,
+            service=server.record.service,
+            first_hand=is_first_hand,
+            draining=server.record.draining,
+            load=server.in_flight,
+        )
+        self.on_departure(server, is_first_hand)
+        self.pools[server.record.service].assign_waiting()
+
     def update_limit_shares(self):
         """Compute this instance's shares of all rate limits again."""
         for pool in self.pools.values():
@@ -181,25 +224,22 @@
             request.attempts_left = self._count_retries_left(pool, request, sent)
             try:
                 server = await self._acquire_server(pool, request, excluded)
-            except RateLimitedError as error:
+            except RefusedError as error:
                 answer = answer or Answer.from_reason(
                     error.reason, retry_after=error.retry_after
                 )
                 break
-            if server is None:
-                reason = self._get_missing_reason(request)
-                answer = answer or Answer.from_reason(reason)
-                break
             if outcome is not None:
                 self.metrics.count_retry(RETRY_REASONS[outcome])
             attempt = await self._attempt(pool, server, request, attempt_summaries)
             outcome = attempt.outcome
             answer = choose_answer(answer, attempt.answer)
-            if outcome is not AttemptOutcome.UNREACHABLE:
+            if outcome not in UNSENT_OUTCOMES:
                 sent += 1
             excluded |= {server.name}
             if outcome is AttemptOutcome.SERVED:
                 break
+        answer = _state_pause(answer, pool)
         self._log_request(request, pool, attempt_summaries, answer)
         return answer
 
@@ -219,12 +259,6 @@
         for pool in self.pools.values():
             pool.refuse_waiting()
 
-    def _get_missing_reason(self, request):
-        """Return why a request that was not sent got no server."""
-        if self._start_limit.allows(self._compute_stop_duration(request)):
-            return RefusalReason.NO_BACKEND
-        return RefusalReason.STOPPING
-
     def _compute_stop_duration(self, request):
         """Return the time that a request has to have until the end of the process."""
         return _STOP_DURATION_FACTOR * self.averages.estimate_seconds(request.route)
@@ -233,7 +267,11 @@
         pool = self.pools.get(service)
         if pool is None:
             pool = BalancedPool(
-                self._zone, self.protocol, self.retry_limits, self.averages
+                self._zone,
+                self.protocol,
+                self.retry_limits,
+                self.averages,
+                self._departures,
             )
             pool.unattended = self._unattended
             self.pools[service] = pool
@@ -252,7 +290,7 @@
             return False
         if trio.current_time() + _MIN_ATTEMPT_SECONDS >= request.deadline:
             return False
-        if outcome is AttemptOutcome.UNREACHABLE:
+        if outcome in UNSENT_OUTCOMES:
             # No byte was written, so this does not count as a retry in the budget.
             return True
         if pool.budget.try_withdraw():
@@ -261,21 +299,39 @@
         return False
 
     async def _acquire_server(self, pool, request, excluded):
+        """Return a server with the request added to its load.
+
+        Raises
+        ------
+        RefusedError
+            If the request gets no server or must not be sent.
+        """
+        self._check_start(request)
         duration = self._compute_stop_duration(request)
-        if not self._start_limit.allows(duration):
-            return None
         expected = self.averages.estimate_seconds(request.route)
         until = min(
             request.deadline - _MIN_REMAINING_SHARE * expected,
             self._start_limit.compute_latest_start(duration),
         )
         server = await pool.acquire_server(request, excluded, until)
-        # The stop may have begun while the request waited.
-        if server is not None and not self._start_limit.allows(duration):
-            pool.release(server, request)
-            return None
+        try:
+            # Both may have changed while the request waited.
+            self._check_start(request)
+        except RefusedError:
+            if server is not None:
+                pool.release(server, request)
+            raise
+        if server is None:
+            raise RefusedError(RefusalReason.NO_BACKEND, request.service)
         return server
 
+    def _check_start(self, request):
+        """Raise `RefusedError` if a request must not be sent now."""
+        if not self._start_limit.allows(self._compute_stop_duration(request)):
+            raise RefusedError(RefusalReason.STOPPING)
+        if self.end_records.is_blocked(request):
+            raise RefusedError(RefusalReason.FATAL_REQUEST)
+
     async def _attempt(self, pool, server, request, attempt_summaries):
         started_at = trio.current_time()
         self.on_load_changed(server)
@@ -293,7 +349,7 @@
                 self.max_answer_bytes,
                 self.answer_memory,
             )
-            self._read_rate_limit(server, attempt)
+            apply_announcements(self, server, attempt)
         finally:
             pool.release(server, request)
             self.on_load_changed(server)
@@ -305,21 +361,9 @@
                 f"{'' if limit is None else f':limit={limit:g}'}"
             )
         self._record_result(pool, server, request, attempt, started_at)
+        await self.end_records.observe(server, request, attempt, started_at)
         return attempt
 
-    def _read_rate_limit(self, server, attempt):
-        is_other = attempt.outcome in (AttemptOutcome.LOST, AttemptOutcome.MISDIRECTED)
-        if attempt.raw is None or is_other:
-            # Nothing or something else than the server answered.
-            return
-        rate = read_rate(
-            attempt.raw,
-            self.protocol.rate_limit,
-            server.rate_limit.rate,
-            may_end=attempt.outcome is not AttemptOutcome.SHED,
-        )
-        self.state_rate_limit(server, rate, trio.current_time())
-
     def _record_result(self, pool, server, request, attempt, started_at):
         """Update the evidence on a server and the averages of its route."""
         now, outcome = trio.current_time(), attempt.outcome
@@ -330,6 +374,9 @@
             server.mark_full(now, _SHED_PAUSE_SECONDS)
         elif outcome is AttemptOutcome.MISDIRECTED:
             server.gone = True
+        elif outcome is AttemptOutcome.WITHDRAWN or attempt.asks_for_pause:
+            # Neither is evidence of a fault.
+            return
         elif outcome in (AttemptOutcome.LATE, AttemptOutcome.TIMED_OUT):
             server.add_slowdown(now, (now - started_at) / expected)
         else:
@@ -356,10 +403,18 @@
             reason=answer.reason.value if answer.reason else "",
             ms=round((now - request.arrived) * 1000),
             attempts=";".join(attempt_summaries),
+            digest=self.end_records.describe_digest(request),
             waiting=pool.count_waiting(),
         )
 
 
+def _state_pause(answer, pool):
+    """Return a refusal with the time after which a paused service can be used again."""
+    if answer.outcome is not Outcome.NOT_RUN or answer.retry_after is not None:
+        return answer
+    return replace(answer, retry_after=pool.compute_pause())
+
+
 def make_balanced_dispatcher(
     zone, protocol, metrics, max_answer_bytes, share=0.1, allowance=10.0, window=10.0
 ):
--- a/kumquatsaddle/balance/pool.py
+++ b/kumquatsaddle/balance/pool.py
@@ -9,10 +9,11 @@
     choose_server,
     is_explorable,
 )
+from kumquatsaddle.balance.departures import Departures
 from kumquatsaddle.balance.drain_rate import DrainRate
 from kumquatsaddle.balance.servers import BalancedServer
 from kumquatsaddle.dispatch.rate_limits import merge_delays
-from kumquatsaddle.exceptions import RateLimitedError
+from kumquatsaddle.exceptions import BackendsPausedError, RateLimitedError
 
 __all__ = ["BalancedPool"]
 
@@ -27,6 +28,9 @@
 _REPEATABLE_FIRST_SECONDS = 1.0
 # Retry-After for a request that only servers could run which are left to others.
 _OTHER_INSTANCES_RETRY_SECONDS = 1.0
+# A request waits for a server that takes requests again this soon: its caller could
+# not come back earlier.
+_SHORT_PAUSE_SECONDS = 0.5
 # Shortest time between counts of the servers in use while no request is sent.
 _USE_COUNT_INTERVAL_SECONDS = 0.1
 
@@ -59,6 +63,8 @@
     protocol : BackendProtocol
     retry_limits : RetryLimits
     averages : RouteAverages
+    departures : Departures, optional
+        Servers that have said that they leave.
 
     Attributes
     ----------
@@ -66,13 +72,14 @@
         Zones without an instance, whose servers are explored from this zone.
     """
 
-    def __init__(self, zone, protocol, retry_limits, averages):
+    def __init__(self, zone, protocol, retry_limits, averages, departures=None):
         self.servers = {}
         self.unattended = frozenset()
         self.budget = SlidingRetryBudget(retry_limits)
         self._zone = zone
         self._protocol = protocol
         self._averages = averages
+        self._departures = departures or Departures()
         self._waiters = []
         self._drain_rate = DrainRate()
         self._assigned_at = float("-inf")
@@ -98,9 +105,11 @@
         for name, record in records.items():
             server = self.servers.get(name)
             if server is None:
-                self.servers[name] = BalancedServer(
+                server = BalancedServer(
                     record, self._protocol, now, is_new=not is_first
                 )
+                server.leaving = self._departures.includes(record)
+                self.servers[name] = server
             elif record != server.record:
                 server.update(record, now)
         self._local_first = sorted(
@@ -130,12 +139,15 @@
         RateLimitedError
             If the rate limits of the servers leave no room in time. It is raised as
             soon as this is known.
+        BackendsPausedError
+            If all servers have asked for a pause; it tells when the first one ends.
         """
         if not any(
             server.is_in_service() and name not in excluded
             for name, server in self.servers.items()
         ):
             return None
+        self._raise_if_paused(request, excluded)
         server = None
         if not self._must_queue(request):
             server = self._choose(request, excluded)
@@ -154,6 +166,7 @@
                     self._waiters.remove(waiter)
             server = waiter.server
             if server is None:
+                self._raise_if_paused(request, excluded)
                 self._raise_if_limited(waiter)
         return server
 
@@ -170,8 +183,14 @@
         processor time while many wait.
         """
         self._assigned_at = trio.current_time()
+        if all(server.leaving or server.gone for server in self.servers.values()):
+            self.refuse_waiting()
         blocked = set()
         for waiter in list(self._waiters):
+            if self.compute_pause(waiter.excluded) is not None:
+                self._waiters.remove(waiter)
+                waiter.event.set()
+                continue
             if waiter.selection_key in blocked:
                 continue
             server = self._choose(waiter.request, waiter.excluded)
@@ -190,6 +209,33 @@
             waiter.event.set()
         self._waiters.clear()
 
+    def compute_pause(self, excluded=frozenset()):
+        """Return the time until the first paused server may be used, in seconds.
+
+        Parameters
+        ----------
+        excluded : collection of BackendId, optional
+            Servers that do not count.
+
+        Returns
+        -------
+        float or None
+            None if some server is not paused, or only for a short time.
+        """
+        now, shortest = trio.current_time(), float("inf")
+        for name, server in self.servers.items():
+            if server.is_in_service() and name not in excluded:
+                shortest = min(shortest, server.pause.until - now)
+                if shortest <= _SHORT_PAUSE_SECONDS:
+                    return None
+        return shortest if shortest < float("inf") else None
+
+    def _raise_if_paused(self, request, excluded):
+        """Raise `BackendsPausedError` if all servers left to try are paused."""
+        pause = self.compute_pause(excluded)
+        if pause is not None:
+            raise BackendsPausedError(pause, request.service)
+
     def _refuse_limited(self):
         """Refuse the waiting requests that the rate limits do not let start in time."""
         delays = self._iterate_delays()
@@ -279,7 +325,7 @@
         return used < _MIN_USED_SHARE * len(usable)
 
     def list_in_service(self):
-        """Return the servers that are neither gone nor draining."""
+        """Return the servers that are neither gone, draining nor leaving."""
         return list(filter(BalancedServer.is_in_service, self.servers.values()))
 
     def count_waiting(self):
--- a/kumquatsaddle/balance/requests.py
+++ b/kumquatsaddle/balance/requests.py
@@ -2,8 +2,9 @@
 
 from dataclasses import dataclass
 
+from kumquatsaddle.balance.fatal_requests import compute_digest
 from kumquatsaddle.routes.table import PublishedRoute
-from kumquatsaddle.types import ServiceName
+from kumquatsaddle.types import RequestDigest, ServiceName
 
 __all__ = ["RoutedRequest"]
 
@@ -44,12 +45,20 @@
     deadline: float
     attempts_left: int = 1
     kilobytes: float = 0.0
+    _digest: RequestDigest | None = None
 
     @property
     def idempotent(self):
         """Whether the request may run more than once."""
         return self.route.idempotent
 
+    @property
+    def digest(self):
+        """Digest of the content, computed when it is first needed."""
+        if self._digest is None:
+            self._digest = compute_digest(self)
+        return self._digest
+
     @property
     def rank(self):
         """Rank of the route."""
--- a/kumquatsaddle/balance/servers.py
+++ b/kumquatsaddle/balance/servers.py
@@ -3,7 +3,8 @@
 import trio
 
 from kumquatsaddle.balance.beliefs import Belief, Observation
-from kumquatsaddle.dispatch.connections import open_connection
+from kumquatsaddle.balance.pauses import ServerPause
+from kumquatsaddle.dispatch.connections import ExchangeError, open_connection
 from kumquatsaddle.dispatch.rate_limits import RateLimit
 from kumquatsaddle.logs import log_event
 
@@ -59,6 +60,9 @@
     untried : bool
         Whether it is new and no instance is known to have sent it a request.
     rate_limit : RateLimit
+    pause : ServerPause
+    leaving : bool
+        Whether an answer of this incarnation said that it is about to shut down.
     gone : bool
         Whether it has left the list or another server answers at its address.
     cold_until : float
@@ -79,6 +83,8 @@
         }
         self.untried = is_new
         self.rate_limit = RateLimit()
+        self.pause = ServerPause()
+        self.leaving = False
         self.gone = False
         self._doubted = False
         self._failed_at = float("-inf")
@@ -287,13 +293,19 @@
         self._failed_connects += 1
 
     def is_in_service(self):
-        """Return whether the server is neither gone nor draining."""
-        return not self.gone and not self.record.draining
+        """Return whether the server is neither gone, draining nor leaving."""
+        return not (self.gone or self.record.draining or self.leaving)
+
+    def accepts_started(self, now):
+        """Return whether a request that was assigned before may still be written."""
+        return self.is_in_service() and self.pause.is_over(now)
 
     def is_available(self, now):
         """Return whether the server is in service, not paused and below its limit."""
-        paused = max(self._unreachable_until, self._full_until)
-        return self.is_in_service() and now >= paused and self.rate_limit.allows(now)
+        if not self.is_in_service() or not self.pause.allows(now, self.own_in_flight):
+            return False
+        resting_until = max(self._unreachable_until, self._full_until)
+        return now >= resting_until and self.rate_limit.allows(now)
 
     async def acquire_connection(self, idempotent):
         """Return an idle connection for a request, or open one.
@@ -326,6 +338,21 @@
         self._failed_connects = 0
         return connection
 
+    async def is_listening(self):
+        """Return whether the server accepts connections; keep the one it accepts."""
+        now = trio.current_time()
+        if now < self._unreachable_until:
+            return False
+        try:
+            connection = await open_connection(
+                self.record.address, _CONNECT_TIMEOUT_SECONDS, self.protocol
+            )
+        except ExchangeError:
+            self.mark_unreachable(trio.current_time())
+            return False
+        await self.release_connection(connection)
+        return True
+
     async def release_connection(self, connection):
         """Make a connection available for reuse, or close it."""
         if (
--- a/kumquatsaddle/balance/tests/steps/scripted_dispatch.py
+++ b/kumquatsaddle/balance/tests/steps/scripted_dispatch.py
@@ -17,6 +17,7 @@
     expected_server=b"expected-server",
     unprocessed=b"backend-unprocessed",
     rate_limit=b"backend-rate-limit",
+    leaving=b"backend-leaving",
     skips_unmatched_answers=True,
 )
 ATTEMPTS = 2
--- a/kumquatsaddle/commands/client.py
+++ b/kumquatsaddle/commands/client.py
@@ -106,11 +106,12 @@
         content = b"" if value is None else json.dumps(value).encode()
         all_headers = [
             ("Host", str(address)),
-            ("Authorization", f"Bearer {self._token}"),
             ("Content-Type", "application/json"),
             ("Content-Length", str(len(content))),
             *headers.items(),
         ]
+        if self._token:
+            all_headers.append(("Authorization", f"Bearer {self._token}"))
         timeouts = {"connect": _CONNECT_TIMEOUT_SECONDS}
         timeouts |= dict.fromkeys(("read", "write", "pool"), _REPLY_TIMEOUT_SECONDS)
         url = f"http://{address}/api/v1/{path}"
--- a/kumquatsaddle/commands/ctl.py
+++ b/kumquatsaddle/commands/ctl.py
@@ -12,6 +12,8 @@
   kumquatsaddle-ctl versions [options]
   kumquatsaddle-ctl (drain|undrain) BACKEND [--reason=TEXT] [options]
   kumquatsaddle-ctl explain ACCOUNT METHOD PATH [options]
+  kumquatsaddle-ctl fatal-requests [options]
+  kumquatsaddle-ctl unblock DIGEST [options]
   kumquatsaddle-ctl prune --settings=FILE [options]
   kumquatsaddle-ctl (-h | --help)
   kumquatsaddle-ctl --version
@@ -22,6 +24,9 @@
 objects with kind, name and value, and no instance is contacted. withdraw prevents an
 edit with an unknown result from taking effect later; it needs --change-id. prune
 deletes claims on idempotency keys older than 24 hours from the platform's table.
+fatal-requests lists the contents of requests that are blocked because backend servers
+ended under them, and unblock lets one be sent again; both ask instances that serve
+published routes.
 
 Options:
   --node=ADDRESSES   Operators' addresses host:port, tried in order
@@ -205,6 +210,17 @@
     return _send_idempotent(options, "GET", f"explain?{query}")
 
 
+@commands.register("fatal-requests")
+def _list_fatal_requests(options):
+    return _send_idempotent(options, "GET", "fatal-requests")
+
+
+@commands.register("unblock")
+def _unblock(options):
+    path = f"fatal-requests/{quote(options['DIGEST'], safe='')}"
+    return _send_idempotent(options, "DELETE", path)
+
+
 @commands.register("prune")
 def _prune(options):
     settings = load_settings(options["--settings"])
--- a/kumquatsaddle/dispatch/protocol.py
+++ b/kumquatsaddle/dispatch/protocol.py
@@ -30,6 +30,8 @@
     rate_limit : bytes
         Requests a second that a server accepts from all instances together. A server
         in trouble repeats it in each answer.
+    leaving : bytes
+        Present in the answers of a server that is about to shut down.
     allows_close_delimited : bool
         Whether the end of the connection may delimit an answer (RFC 9112, section 6.3).
     skips_unmatched_answers : bool
@@ -43,6 +45,7 @@
     unprocessed: bytes = b""
     signature: bytes = b""
     rate_limit: bytes = b""
+    leaving: bytes = b""
     allows_close_delimited: bool = False
     skips_unmatched_answers: bool = False
 
--- a/kumquatsaddle/exceptions.py
+++ b/kumquatsaddle/exceptions.py
@@ -18,6 +18,8 @@
     "ChangeNotWrittenError",
     "ChangeUnknownError",
     "RefusedError",
+    "RateLimitedError",
+    "BackendsPausedError",
     "OutcomeUnknownError",
 ]
 
@@ -144,6 +146,13 @@
         super().__init__(RefusalReason.BACKEND_LIMIT, detail, retry_after)
 
 
+class BackendsPausedError(RefusedError):
+    """All backend servers of a service have asked this instance for a pause."""
+
+    def __init__(self, retry_after, detail=""):
+        super().__init__(RefusalReason.BACKEND_PAUSED, detail, retry_after)
+
+
 class OutcomeUnknownError(KumquatsaddleError):
     """A request may have run; its answer is lost.
 
--- a/kumquatsaddle/exchange.py
+++ b/kumquatsaddle/exchange.py
@@ -25,6 +25,7 @@
         RefusalReason.ISSUER_GONE,
         RefusalReason.OPERATION_EXPIRED,
         RefusalReason.OPERATION_MISMATCH,
+        RefusalReason.FATAL_REQUEST,
     }
 )
 
@@ -49,6 +50,7 @@
     RefusalReason.ANSWER_TOO_LARGE: 502,
     RefusalReason.ISSUER_GONE: 502,
     RefusalReason.OPERATION_EXPIRED: 502,
+    RefusalReason.FATAL_REQUEST: 502,
 }
 _DEFAULT_STATUS = 503
 
--- a/kumquatsaddle/lifecycle/routed_node.py
+++ b/kumquatsaddle/lifecycle/routed_node.py
@@ -16,6 +16,7 @@
 from kumquatsaddle.discovery.records import InstanceRecord
 from kumquatsaddle.dispatch.protocol import BackendProtocol
 from kumquatsaddle.entry.callers import make_caller_server
+from kumquatsaddle.entry.operator_pages import PageSwitch, make_fatal_requests_page
 from kumquatsaddle.entry.routed import CallerProtocol, make_routed_proxy
 from kumquatsaddle.exceptions import PlatformUnavailableError, SettingsError
 from kumquatsaddle.lifecycle.answers import apply_answer_limits
@@ -187,7 +188,7 @@
         )
         nursery.start_soon(self._pause_detector.run)
         await start_server(nursery, self._run_exchange, self.settings, "control")
-        for key, page in self._parts.make_pages(self).items():
+        for key, page in self._make_pages().items():
             server = make_caller_server(self._caller_config, page)
             await start_server(nursery, server.run, self.settings, key)
         self.callers = make_caller_server(self._caller_config, proxy)
@@ -197,6 +198,21 @@
         nursery.start_soon(self._join)
         nursery.start_soon(self._watch_settings)
 
+    def _make_pages(self):
+        """Return the pages by the key of ``[listen]`` with their address.
+
+        The platform may have the metrics at the operators' address.
+        """
+        pages = self._parts.make_pages(self)
+        fatal_requests = make_fatal_requests_page(
+            self.dispatcher.end_records, self.settings
+        )
+        operators = self.settings.get("listen", "operators")
+        for key, page in pages.items():
+            if self.settings.get("listen", key) == operators:
+                return pages | {key: PageSwitch([page, fatal_requests])}
+        return pages | {"operators": fatal_requests}
+
     def reload(self):
         """Apply a changed settings file; log an error if it is invalid."""
         try:
--- a/kumquatsaddle/metrics.py
+++ b/kumquatsaddle/metrics.py
@@ -29,6 +29,7 @@
 # Exported with value 0 from the start.
 _UNLABELED_COUNTERS = (
     "accepts_failed",
+    "backend_ends",
     "caller_connections_broken",
     "caller_connections_failed",
     "caller_timeouts",
--- a/kumquatsaddle/sharing/exchange.py
+++ b/kumquatsaddle/sharing/exchange.py
@@ -13,12 +13,15 @@
 from kumquatsaddle.balance.beliefs import Observation
 from kumquatsaddle.balance.limit_shares import LimitShares
 from kumquatsaddle.exceptions import MessageError
+from kumquatsaddle.sharing.announcements import (
+    NO_ANNOUNCEMENTS,
+    SharedAnnouncements,
+)
 from kumquatsaddle.sharing.fetches import (
     fetch_update,
     make_long_update_limiter,
     serve_fetch,
 )
-from kumquatsaddle.sharing.limits import SharedLimits
 from kumquatsaddle.sharing.loads import OwnLoads, RemoteLoads
 from kumquatsaddle.sharing.messages import (
     Fetch,
@@ -81,12 +84,14 @@
         self._remote_loads = RemoteLoads(dispatcher)
         self._own_loads = OwnLoads(dispatcher)
         dispatcher.on_load_changed = self._on_load
-        self._limits = SharedLimits(dispatcher)
+        self._announcements = SharedAnnouncements(dispatcher)
         self._limit_shares = LimitShares(peers.own)
         self._attended_zones = frozenset()
         self._long_updates = make_long_update_limiter()
         dispatcher.on_answer = self._on_answer
         dispatcher.on_limit_changed = self._on_limit_changed
+        dispatcher.on_departure = self._on_departure
+        dispatcher.end_records.on_end = self._on_server_end
         dispatcher.compute_limit_share = self._limit_shares.compute_share
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
@@ -153,12 +158,22 @@
         self._changed.set()
 
     def _on_limit_changed(self, server):
-        self._limits.track(server)
+        self._announcements.limits.track(server)
         if server.rate_limit.is_first_hand:
             if self._pending_scope is Scope.DUE:
                 self._pending_scope = Scope.CLOSE
             self._changed.set()
 
+    def _on_departure(self, server, is_first_hand):
+        self._announcements.departures.track(server, is_first_hand)
+        if is_first_hand:
+            self.report_now()
+
+    def _on_server_end(self, end):
+        self._announcements.ends.track(end)
+        self._failure_observed.set()
+        self.report_now()
+
     def _update_limit_shares(self, active):
         names = [record.name for record in active]
         if self._limit_shares.update(names, self._attended_zones):
@@ -194,7 +209,7 @@
             if now >= due:
                 self._last_round_at = now
                 self._update_unattended_zones(now)
-                self._limits.expire()
+                self._announcements.limits.expire()
             self._send_report(scope)
 
     async def _coalesce_changes(self):
@@ -220,25 +235,34 @@
             for zone in self._zone_summaries.expire(now):
                 self._remote_loads.drop(_zone_key(zone))
             failed, self._zone_totals.failed = self._zone_totals.failed, set()
-            if now >= due:
-                # Send a full summary even if failures keep coming.
-                due, failed = now + _SUMMARY_INTERVAL_SECONDS, set()
+            # A full summary is due even if failures keep coming.
+            is_due = now >= due
+            if is_due:
+                due = now + _SUMMARY_INTERVAL_SECONDS
             if self.peers.is_leader():
-                self._send_summary(failed)
+                self._send_summary(None if is_due else failed)
             await trio.sleep(_MIN_SUMMARY_INTERVAL_SECONDS)
 
     def _send_summary(self, failed):
+        """Send the loads of the zone to the others.
+
+        Parameters
+        ----------
+        failed : set of BackendId or None
+            Servers to which the summary is limited; None for a full one.
+        """
+        partial = failed is not None
         loads = self._zone_totals.make_loads(
             self._dispatcher.list_servers(), self._count_zone_in_flight
         )
-        if failed:
+        if partial:
             loads = [load for load in loads if load.server in failed]
-        limits = ()
-        if not failed:
-            limits = self._limits.list_all(self._limit_shares.is_responsible)
-        report = self._make_report(loads, limits, summary=True, partial=bool(failed))
+        announcements = self._announcements.list_for_zones(
+            None if partial else self._limit_shares.is_responsible
+        )
+        report = self._make_report(loads, announcements, summary=True, partial=partial)
         data = encode_report(report)
-        for record in choose_recipients(self.peers, self._zone_summaries, bool(failed)):
+        for record in choose_recipients(self.peers, self._zone_summaries, partial):
             self._send(data, record.control)
 
     def _count_zone_in_flight(self, server):
@@ -257,16 +281,16 @@
         if lost and self.peers.is_leader():
             scope = Scope.ALL
         changes, encoded = self._own_loads.pop_changes(), {}
-        changed_limits = self._limits.pop_changes()
+        announced = self._announcements.pop_changes()
         for peer, interval, is_due in self._schedule.list_recipients(now, scope):
             variant = interval, is_due
             if variant not in encoded:
-                loads, limits = changes, changed_limits
+                loads, announcements = changes, announced
                 if is_due:
                     loads = self._own_loads.list_recent()
-                    limits = self._limits.list_first_hand()
+                    announcements = self._announcements.list_first_hand()
                 report = self._make_report(
-                    loads, limits, interval=interval, partial=not is_due
+                    loads, announcements, interval=interval, partial=not is_due
                 )
                 encoded[variant] = encode_report(report)
             self._send(encoded[variant], peer.record.control)
@@ -301,13 +325,16 @@
 
     def _make_first_report(self, wants_reply=False):
         """Return a report for an instance that knows nothing of this one yet."""
-        loads, limits = self._own_loads.list_all_used(), self._limits.list_all()
-        return self._make_report(loads, limits, wants_reply=wants_reply)
+        return self._make_report(
+            self._own_loads.list_all_used(),
+            self._announcements.list_all(),
+            wants_reply=wants_reply,
+        )
 
     def _make_report(
         self,
         loads,
-        limits=(),
+        announcements=NO_ANNOUNCEMENTS,
         wants_reply=False,
         summary=False,
         partial=False,
@@ -330,7 +357,9 @@
             capacity=self._node.capacity,
             interval=interval,
             silent=self._list_recently_silent(),
-            limits=limits,
+            limits=announcements.limits,
+            departures=announcements.departures,
+            ends=announcements.ends,
         )
 
     async def _receive(self):
@@ -360,6 +389,9 @@
         for silent in self.peers.mark_silent(report.silent, now):
             self._remote_loads.drop(silent.record.name)
         is_first = peer.counts is None
+        if self._announcements.apply(report):
+            # The other zones hear of it from the leader.
+            self._failure_observed.set()
         if is_first and report.partial:
             # The totals of the other servers are not known yet; a full report follows.
             return
@@ -369,7 +401,6 @@
             # The first totals are the baseline; older observations are no evidence of
             # the current state.
             peer.counts = {load.server: load.counts for load in report.loads}
-        self._limits.apply(report.limits)
         for server, observation, number in self._remote_loads.apply(
             peer.record.name, peer.counts, report, now
         ):
@@ -388,7 +419,7 @@
             scope = Scope.CLOSE if report.partial else Scope.ALL
             for peer in self._schedule.list_in_scope(scope):
                 self._send(data, peer.record.control)
-        self._limits.apply(report.limits)
+        self._announcements.apply(report)
         self._remote_loads.apply(
             _zone_key(zone), self._zone_summaries.get_counts(zone), report, now
         )
--- a/kumquatsaddle/sharing/messages.py
+++ b/kumquatsaddle/sharing/messages.py
@@ -13,10 +13,18 @@
 from kumquatsaddle.discovery.records import InstanceRecord
 from kumquatsaddle.exceptions import MessageError
 from kumquatsaddle.settings.parsers import parse_address
-from kumquatsaddle.types import BackendId, InstanceId, MessageRejection, ZoneId
+from kumquatsaddle.types import (
+    BackendId,
+    InstanceId,
+    MessageRejection,
+    RequestDigest,
+    ZoneId,
+)
 
 __all__ = [
     "REPORTED_OBSERVATIONS",
+    "Departure",
+    "EndAge",
     "EncodedRow",
     "Fetch",
     "Report",
@@ -95,6 +103,38 @@
     age: float
 
 
+class Departure(NamedTuple):
+    """A backend server that has said that it leaves.
+
+    Parameters
+    ----------
+    server : BackendId
+    started_at_ms : int
+        Its start in milliseconds since the epoch, which tells its incarnations apart.
+    """
+
+    server: BackendId
+    started_at_ms: int
+
+
+class EndAge(NamedTuple):
+    """A `ServerEnd` with times before the report in place of times of a clock.
+
+    Parameters
+    ----------
+    digest : RequestDigest
+    server : BackendId
+        Empty if the digest was cleared.
+    started_ago, ended_ago : float
+        Time since the start and the end of the attempt, in seconds.
+    """
+
+    digest: RequestDigest
+    server: BackendId
+    started_ago: float
+    ended_ago: float
+
+
 @dataclass(frozen=True, slots=True)
 class Report:
     """The content of a datagram; see `reports.capnp`.
@@ -119,6 +159,8 @@
     interval: float = 0.0
     silent: tuple[InstanceId, ...] = ()
     limits: tuple[StatedLimit, ...] = ()
+    departures: tuple[Departure, ...] = ()
+    ends: tuple[EndAge, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -204,6 +246,10 @@
         message.silent = list(report.silent)
     if report.limits:
         _write_limits(message, report.limits)
+    if report.departures:
+        _write_departures(message, report.departures)
+    if report.ends:
+        _write_ends(message, report.ends)
     return message.to_bytes()
 
 
@@ -308,6 +354,21 @@
         target.ageMs = int(min(limit.age, _MAX_AGE_SECONDS) * 1000)
 
 
+def _write_departures(message, departures):
+    targets = message.init("departures", len(departures))
+    for target, departure in zip(targets, departures, strict=True):
+        target.server = departure.server
+        target.startedAtMs = departure.started_at_ms
+
+
+def _write_ends(message, ends):
+    targets = message.init("ends", len(ends))
+    for target, end in zip(targets, ends, strict=True):
+        target.digest, target.server = end.digest, end.server
+        target.startedAgoMs = int(min(end.started_ago, _MAX_AGE_SECONDS) * 1000)
+        target.endedAgoMs = int(min(end.ended_ago, _MAX_AGE_SECONDS) * 1000)
+
+
 def _convert_report(message):
     return Report(
         sender=InstanceRecord(
@@ -331,6 +392,19 @@
         interval=message.intervalMs / 1000,
         silent=tuple(InstanceId(name) for name in message.silent),
         limits=tuple(_convert_limit(item) for item in message.limits),
+        departures=tuple(
+            Departure(BackendId(item.server), item.startedAtMs)
+            for item in message.departures
+        ),
+        ends=tuple(
+            EndAge(
+                RequestDigest(item.digest),
+                BackendId(item.server),
+                item.startedAgoMs / 1000,
+                item.endedAgoMs / 1000,
+            )
+            for item in message.ends
+        ),
     )
 
 
--- a/kumquatsaddle/sharing/reports.capnp
+++ b/kumquatsaddle/sharing/reports.capnp
@@ -30,6 +30,20 @@
   numbers @17 :List(UInt32);
   silent @18 :List(Text);    # peers that became silent recently; set by the zone leader
   limits @19 :List(RateLimit); # rate limits that servers state or have ended
+  departures @20 :List(Departure); # servers that have said that they leave
+  ends @21 :List(ServerEnd); # requests under which servers ended, and those cleared
+}
+
+struct ServerEnd {
+  digest @0 :UInt64;         # of the content of the request
+  server @1 :Text;           # empty if an answer or an operator cleared the digest
+  startedAgoMs @2 :UInt32;   # time since the attempt started
+  endedAgoMs @3 :UInt32;     # time since it ended
+}
+
+struct Departure {
+  server @0 :Text;
+  startedAtMs @1 :UInt64;    # which incarnation of the server
 }
 
 struct RateLimit {
--- a/kumquatsaddle/sharing/tests/steps/limited_fleet.py
+++ b/kumquatsaddle/sharing/tests/steps/limited_fleet.py
@@ -22,7 +22,10 @@
 from kumquatsaddle.types import Rank
 
 PROTOCOL = BackendProtocol(
-    request_id=b"request", deadline=b"deadline", rate_limit=b"rate-limit"
+    request_id=b"request",
+    deadline=b"deadline",
+    rate_limit=b"rate-limit",
+    leaving=b"leaving",
 )
 SERVICE = "s"
 WORK_SECONDS = 0.6
@@ -44,6 +47,7 @@
             name, 1, SERVICE, Address("127.0.0.1", port), zone, SLOTS, False
         )
         self.rate = None
+        self.leaves = False
         # When it first stated a rate, and the highest rate since then.
         self.rate_named_at = None
         self.highest_rate = 0.0
@@ -75,6 +79,8 @@
         headers = []
         if self._server.rate is not None:
             headers.append((b"rate-limit", b"%g" % self._server.rate))
+        if self._server.leaves:
+            headers.append((b"leaving", b"1"))
         return RawAnswer(200, headers, b"")
 
     async def close(self):
--- a/kumquatsaddle/testing/backends.py
+++ b/kumquatsaddle/testing/backends.py
@@ -13,10 +13,15 @@
 # Size limit in bytes that tests set for the body of an answer.
 MAX_ANSWER_BYTES = 4096
 _REFUSAL = b"HTTP/1.1 503 Shed\r\nBackend-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n"
+_START_OF_REFUSAL = b"HTTP/1.1 503 Shed\r\n"
 _MISDIRECTED = b"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n"
 # Answers without the id of the request, by the kind that sends them twice.
 _REPEATED_REFUSALS = {"refuse_again": _REFUSAL, "misdirect_again": _MISDIRECTED}
-_STATUSES = {"failed": b"500 Failed", "misdirected": b"421 Misdirected Request"}
+_STATUSES = {
+    "failed": b"500 Failed",
+    "misdirected": b"421 Misdirected Request",
+    "unavailable": b"503 Unavailable",
+}
 _UNREQUESTED_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray"
 
 
@@ -28,7 +33,8 @@
     - ``whole``: a complete answer with a ``Content-Length``;
     - ``chunked``: a complete answer in chunked encoding;
     - ``head``: an informational answer (status 103) before the complete one;
-    - ``failed``, ``misdirected``: a complete answer with status 500 or 421;
+    - ``failed``, ``misdirected``, ``unavailable``: a complete answer with status 500,
+      421 or 503;
     - ``refuse``: status 503, marked as unprocessed;
     - ``refuse_again``: the same, and a second copy of it when the next request on the
       connection has arrived, before the answer to that one;
@@ -53,6 +59,8 @@
     script : list of (str, int)
     rate_limit : bytes or None
         Rate limit that each answer states, in requests a second.
+    announcements : bytes
+        Header lines of each answer, refusals included.
     default : (str, int)
         Action when the script is empty.
     reached, refused : list of str
@@ -65,6 +73,7 @@
         self.nursery = nursery
         self.script = []
         self.rate_limit = None
+        self.announcements = b""
         self.default = ("whole", 0)
         self.reached = []
         self.refused = []
@@ -112,6 +121,9 @@
         if kind == "refuse" or kind in _REPEATED_REFUSALS:
             self.refused.append(target.decode())
             refusal = _REPEATED_REFUSALS.get(kind, _REFUSAL)
+            refusal = refusal.replace(
+                _START_OF_REFUSAL, _START_OF_REFUSAL + self.announcements
+            )
             await stream.send_all(self._late_copies.pop(stream, b"") + refusal)
             if kind in _REPEATED_REFUSALS:
                 self._late_copies[stream] = refusal
@@ -129,6 +141,7 @@
             return False
         if self.rate_limit is not None:
             request_id_line += b"Backend-Rate-Limit: %b\r\n" % self.rate_limit
+        request_id_line += self.announcements
         data = _encode_answer(kind, target, request_id_line)
         if kind == "cut":
             data = data[: number % len(data)]
--- a/kumquatsaddle/types.py
+++ b/kumquatsaddle/types.py
@@ -19,6 +19,7 @@
     "TemplateName",
     "AccountId",
     "OperationId",
+    "RequestDigest",
     "ConfigVersion",
     "Rank",
     "Outcome",
@@ -45,6 +46,7 @@
 TemplateName = NewType("TemplateName", str)
 AccountId = NewType("AccountId", str)
 OperationId = NewType("OperationId", str)
+RequestDigest = NewType("RequestDigest", int)
 ConfigVersion = NewType("ConfigVersion", int)
 
 
@@ -88,6 +90,8 @@
     NO_BACKEND = "no_backend"
     BACKEND_SHED = "backend_shed"
     BACKEND_LIMIT = "backend_limit"
+    # All servers of the service have asked for a pause.
+    BACKEND_PAUSED = "backend_paused"
     BACKEND_UNREACHABLE = "backend_unreachable"
     PEER_UNREACHABLE = "peer_unreachable"
     CLAIM_LIMIT = "claim_limit"
@@ -105,6 +109,8 @@
     ANSWER_MISMATCH = "answer_mismatch"
     ISSUER_GONE = "issuer_gone"
     OPERATION_EXPIRED = "operation_expired"
+    # Backend servers ended under requests with this content.
+    FATAL_REQUEST = "fatal_request"
     # Answered DONE, but without the body, which is no longer stored.
     ANSWER_FORGOTTEN = "answer_forgotten"
 
@@ -116,6 +122,8 @@
     STALE_CONNECTION = "stale_connection"
     BACKEND_SHED = "backend_shed"
     BACKEND_ERROR = "backend_error"
+    # The server began to leave or to pause before a byte was written.
+    BACKEND_WITHDRAWN = "backend_withdrawn"
     ANSWER_TRUNCATED = "answer_truncated"
     ANSWER_LATE = "answer_late"
     ANSWER_MISMATCH = "answer_mismatch"
