--- a/kumquatsaddle/sharing/exchange.py
+++ b/kumquatsaddle/sharing/exchange.py
@@ -30,7 +30,7 @@
     encode_report,
 )
 from kumquatsaddle.sharing.schedule import MAX_INTERVAL_SECONDS, ReportSchedule, Scope
-from kumquatsaddle.sharing.summaries import ZoneSummaries, ZoneTotals, choose_recipients
+from kumquatsaddle.sharing.summary_exchange import SummaryExchange
 from kumquatsaddle.sharing.survivals import SurvivalReports
 
 __all__ = ["ZoneExchange", "make_zone_exchange"]
@@ -41,9 +41,6 @@
 _BUSY_COALESCE_SECONDS = 0.015
 # Share of the slots in use from which a server counts as busy.
 _BUSY_UTILIZATION = 0.6
-_SUMMARY_INTERVAL_SECONDS = 1.0
-# Shortest time between two summaries when failures are reported early.
-_MIN_SUMMARY_INTERVAL_SECONDS = 0.03
 # How long the zone leader lists a peer as silent in its reports.
 _SILENCE_REPORTED_SECONDS = 2.0
 _MAX_DATAGRAM_BYTES = 65536
@@ -74,9 +71,6 @@
         self._pending_scope = Scope.DUE
         self._server_is_busy = False
         self._survival_reports = SurvivalReports()
-        self._zone_totals = ZoneTotals()
-        self._zone_summaries = ZoneSummaries()
-        self._failure_observed = trio.Event()
         self._last_round_at = -math.inf
         self._schedule = ReportSchedule(peers)
         # When peers became silent, by instance name.
@@ -87,6 +81,14 @@
         self._announcements = SharedAnnouncements(dispatcher)
         self._limit_shares = LimitShares(peers.own)
         self._attended_zones = frozenset()
+        self._summaries = SummaryExchange(
+            self,
+            dispatcher,
+            self._schedule,
+            self._remote_loads,
+            self._announcements,
+            self._limit_shares.is_responsible,
+        )
         self._long_updates = make_long_update_limiter()
         dispatcher.on_answer = self._on_answer
         dispatcher.on_limit_changed = self._on_limit_changed
@@ -107,7 +109,7 @@
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._receive)
                 nursery.start_soon(trio.serve_listeners, self._serve_fetch, listeners)
-                nursery.start_soon(self._send_summaries)
+                nursery.start_soon(self._summaries.run)
                 task_status.started()
                 await self._send_reports()
 
@@ -120,7 +122,7 @@
         """Send a report that asks for a reply to instances not heard from yet."""
         data = encode_report(self._make_first_report(wants_reply=True))
         for address in addresses:
-            self._send(data, address)
+            self.send(data, address)
 
     async def fetch(
         self, address, routes_after, servers_after, timeout, wants_instances=False
@@ -152,7 +154,7 @@
     def _on_answer(self, server, observation):
         self._own_loads.mark_changed(server, trio.current_time())
         if observation is not None:
-            self._add_observations(server, observation)
+            self._summaries.add_observations(server, observation)
         if observation is Observation.FAILED_FAST and self._pending_scope is Scope.DUE:
             self._pending_scope = Scope.CLOSE
         self._changed.set()
@@ -171,19 +173,16 @@
 
     def _on_server_end(self, end):
         self._announcements.ends.track(end)
-        self._failure_observed.set()
-        self.report_now()
+        self._summaries.send_soon()
+        if self._pending_scope is Scope.DUE:
+            self._pending_scope = Scope.CLOSE
+        self._changed.set()
 
     def _update_limit_shares(self, active):
         names = [record.name for record in active]
         if self._limit_shares.update(names, self._attended_zones):
             self._dispatcher.update_limit_shares()
 
-    def _add_observations(self, server, observation, number=1):
-        self._zone_totals.add(server, observation, number)
-        if self._zone_totals.failed:
-            self._failure_observed.set()
-
     async def _send_reports(self):
         while True:
             active = self._node.list_active()
@@ -224,53 +223,6 @@
             with trio.move_on_at(until):
                 await self._changed.wait()
 
-    async def _send_summaries(self):
-        """Send zone summaries to the other zones while this instance is the leader."""
-        due = trio.current_time() + _SUMMARY_INTERVAL_SECONDS
-        while True:
-            with trio.move_on_at(due):
-                await self._failure_observed.wait()
-            self._failure_observed = trio.Event()
-            now = trio.current_time()
-            for zone in self._zone_summaries.expire(now):
-                self._remote_loads.drop(_zone_key(zone))
-            failed, self._zone_totals.failed = self._zone_totals.failed, set()
-            # A full summary is due even if failures keep coming.
-            is_due = now >= due
-            if is_due:
-                due = now + _SUMMARY_INTERVAL_SECONDS
-            if self.peers.is_leader():
-                self._send_summary(None if is_due else failed)
-            await trio.sleep(_MIN_SUMMARY_INTERVAL_SECONDS)
-
-    def _send_summary(self, failed):
-        """Send the loads of the zone to the others.
-
-        Parameters
-        ----------
-        failed : set of BackendId or None
-            Servers to which the summary is limited; None for a full one.
-        """
-        partial = failed is not None
-        loads = self._zone_totals.make_loads(
-            self._dispatcher.list_servers(), self._count_zone_in_flight
-        )
-        if partial:
-            loads = [load for load in loads if load.server in failed]
-        announcements = self._announcements.list_for_zones(
-            None if partial else self._limit_shares.is_responsible
-        )
-        report = self._make_report(loads, announcements, summary=True, partial=partial)
-        data = encode_report(report)
-        for record in choose_recipients(self.peers, self._zone_summaries, partial):
-            self._send(data, record.control)
-
-    def _count_zone_in_flight(self, server):
-        """Return the requests that this zone's instances have in flight at a server."""
-        return server.own_in_flight + sum(
-            server.get_reported_in_flight(name) for name in self.peers.peers
-        )
-
     def _send_report(self, scope):
         """Send a report to the peers in scope and to those whose report is due."""
         now = trio.current_time()
@@ -289,11 +241,11 @@
                 if is_due:
                     loads = self._own_loads.list_recent()
                     announcements = self._announcements.list_first_hand()
-                report = self._make_report(
+                report = self.make_report(
                     loads, announcements, interval=interval, partial=not is_due
                 )
                 encoded[variant] = encode_report(report)
-            self._send(encoded[variant], peer.record.control)
+            self.send(encoded[variant], peer.record.control)
 
     def _list_recently_silent(self):
         """Return the recently silent peers if this instance is the zone leader."""
@@ -309,13 +261,14 @@
         """Find the zones that have no live instance."""
         zones = {server.record.zone for server in self._dispatcher.list_servers()}
         zones.discard(self.peers.own.zone)
-        unattended = self._zone_summaries.list_unattended(zones, now)
+        unattended = self._summaries.find_unattended(zones, now)
         self._dispatcher.set_unattended(unattended)
         # Zones with instances but without a server have a share of the limits.
         zones |= set(self.peers.group_other_zones())
-        self._attended_zones = zones - self._zone_summaries.list_unattended(zones, now)
+        self._attended_zones = zones - self._summaries.find_unattended(zones, now)
 
-    def _send(self, data, address):
+    def send(self, data, address):
+        """Send a datagram to the control address of an instance."""
         # A trio socket would pass through the scheduler for each datagram.
         try:
             self._socket.sendto(data, (address.host, address.port))
@@ -325,13 +278,13 @@
 
     def _make_first_report(self, wants_reply=False):
         """Return a report for an instance that knows nothing of this one yet."""
-        return self._make_report(
+        return self.make_report(
             self._own_loads.list_all_used(),
             self._announcements.list_all(),
             wants_reply=wants_reply,
         )
 
-    def _make_report(
+    def make_report(
         self,
         loads,
         announcements=NO_ANNOUNCEMENTS,
@@ -340,6 +293,7 @@
         partial=False,
         interval=MAX_INTERVAL_SECONDS,
     ):
+        """Return a `Report` of this instance; see there for the parameters."""
         self._sequence += 1
         return Report(
             sender=self.peers.own,
@@ -381,7 +335,8 @@
     def _handle_report(self, report, data, host):
         now = trio.current_time()
         if report.summary:
-            self._handle_summary(report, data, host, now)
+            if self._summaries.handle(report, data, host, now):
+                self._node.record_store_answer(now - report.read_age)
             return
         peer = self.peers.accept_report(report, now)
         if peer is None:
@@ -391,12 +346,12 @@
         is_first = peer.counts is None
         if self._announcements.apply(report):
             # The other zones hear of it from the leader.
-            self._failure_observed.set()
+            self._summaries.send_soon()
         if is_first and report.partial:
             # The totals of the other servers are not known yet; a full report follows.
             return
         if is_first or report.wants_reply:
-            self._send(encode_report(self._make_first_report()), report.sender.control)
+            self.send(encode_report(self._make_first_report()), report.sender.control)
         if is_first:
             # The first totals are the baseline; older observations are no evidence of
             # the current state.
@@ -404,26 +359,9 @@
         for server, observation, number in self._remote_loads.apply(
             peer.record.name, peer.counts, report, now
         ):
-            self._add_observations(server, observation, number)
+            self._summaries.add_observations(server, observation, number)
         self._node.fetch_if_newer(peer)
 
-    def _handle_summary(self, report, data, host, now):
-        zone = report.sender.zone
-        if zone == self.peers.own.zone or not self._zone_summaries.accept(report, now):
-            return
-        self.peers.add_instance(report.sender, now)
-        self._node.record_store_answer(now - report.read_age)
-        if host == report.sender.control.host:
-            # Relay only what came directly from the other zone. Partial summaries
-            # carry failures, which matter to the instances that callers are sent to.
-            scope = Scope.CLOSE if report.partial else Scope.ALL
-            for peer in self._schedule.list_in_scope(scope):
-                self._send(data, peer.record.control)
-        self._announcements.apply(report)
-        self._remote_loads.apply(
-            _zone_key(zone), self._zone_summaries.get_counts(zone), report, now
-        )
-
     async def _serve_fetch(self, stream):
         await serve_fetch(
             stream, self._node.make_update, self._metrics, self._long_updates
@@ -433,8 +371,3 @@
 def make_zone_exchange(peers, dispatcher, node, metrics):
     """Return the exchange of one instance; see `ZoneExchange`."""
     return ZoneExchange(peers, dispatcher, node, metrics)
-
-
-def _zone_key(zone):
-    """Return the key for the loads of another zone; no instance has such a name."""
-    return f"zone:{zone}"
--- a/kumquatsaddle/sharing/tests/steps/exchange.py
+++ b/kumquatsaddle/sharing/tests/steps/exchange.py
@@ -42,13 +42,13 @@
         )
         self.scope = trio.CancelScope()
         self.sent = 0
-        send = self.exchange._send
+        send = self.exchange.send
 
         def count(data, address):
             self.sent += 1
             send(data, address)
 
-        self.exchange._send = count
+        self.exchange.send = count
 
     @property
     def server(self):
@@ -424,14 +424,14 @@
 
 
 def collect_full_summaries(instance, reports_seen):
-    handle = instance.exchange._handle_summary
+    handle = instance.exchange._summaries.handle
 
     def collect(report, data, host, now):
         if not report.partial and host == report.sender.control.host:
             reports_seen.append(report)
         handle(report, data, host, now)
 
-    instance.exchange._handle_summary = collect
+    instance.exchange._summaries.handle = collect
 
 
 @then("zone b gets at least {least:d} full summaries of zone a")
@@ -461,7 +461,7 @@
 
     async def act():
         instance = context.instances[1]
-        send = instance.exchange._send
+        send = instance.exchange.send
 
         def collect(data, address):
             report = messages.decode_report(data)
@@ -469,7 +469,7 @@
                 context.reports.append(report)
             send(data, address)
 
-        instance.exchange._send = collect
+        instance.exchange.send = collect
         instance.server.begin(1, trio.current_time(), 0.5)
         instance.exchange._on_load(instance.server)
         await trio.sleep(0.3)
--- a/kumquatsaddle/sharing/tests/steps/limited_fleet.py
+++ b/kumquatsaddle/sharing/tests/steps/limited_fleet.py
@@ -102,7 +102,7 @@
         self.exchange = make_zone_exchange(
             self.peers, self.dispatcher, self.node, self.metrics
         )
-        self.exchange._send = self._send
+        self.exchange.send = self._send
         self.scope = trio.CancelScope()
         self.is_cut = False
         self.alive = True
@@ -111,7 +111,7 @@
         with self.scope:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self.exchange._send_reports)
-                nursery.start_soon(self.exchange._send_summaries)
+                nursery.start_soon(self.exchange._summaries.run)
 
     def reset(self):
         """Forget everything, as a new process does."""
