Let an instance that heard nobody blame its own path for a silent store

Cause, seen in the last read: an instance that was cut off from all, or thawed, took its own gap for an outage of the store and would have kept servers removed right after its return for 2.2 s, and told its peers so; one that started took the read age of the first peer it heard for a gap.

Change: with peers, an outage counts only if they reported for 0.6 s that the store answered none of them either; what was before the start of an instance is no gap. Only refusals that pauses can cause carry their time.

Measured: discovery 34 scenarios passed; with the new condition removed, two examples of outages.feature fail.

--- a/kumquatsaddle/balance/dispatcher.py
+++ b/kumquatsaddle/balance/dispatcher.py
@@ -42,6 +42,8 @@
 # A request is started in a planned stop only if this many times its expected response
 # time is left.
 _STOP_DURATION_FACTOR = 2.0
+# Refusals that may come from the pauses of all servers.
+_PAUSE_REASONS = (RefusalReason.BACKEND_SHED, RefusalReason.NO_BACKEND)
 
 
 class BalancedDispatcher:
@@ -410,7 +412,7 @@
 
 def _state_pause(answer, pool):
     """Return a refusal with the time after which a paused service can be used again."""
-    if answer.outcome is not Outcome.NOT_RUN or answer.retry_after is not None:
+    if answer.reason not in _PAUSE_REASONS or answer.retry_after is not None:
         return answer
     return replace(answer, retry_after=pool.compute_pause())
 
--- a/kumquatsaddle/discovery/follower.py
+++ b/kumquatsaddle/discovery/follower.py
@@ -124,13 +124,14 @@
 
     def fetch_if_newer(self, peer):
         """Trigger a fetch if the report of a peer shows newer versions."""
-        self.record_store_answer(peer.heard_at - peer.report.read_age)
+        self.record_peer_answer(peer.report.read_age)
         if self._has_newer_versions(peer.report):
             self._fetch_needed.set()
 
-    def record_store_answer(self, time):
-        """Record when the store answered an instance, on the clock in seconds."""
-        self.servers.outages.record_answer(time)
+    def record_peer_answer(self, age):
+        """Record how long ago the store answered another instance, in seconds."""
+        now = self._clock()
+        self.servers.outages.record_peer_answer(now - age, now)
 
     def make_update(self, fetch):
         """Return the `Update` that answers a `Fetch` of a peer."""
@@ -200,7 +201,7 @@
     async def _read(self, table):
         if table.version is None:
             snapshot = await table.read()
-            self.record_store_answer(self._clock())
+            self.servers.outages.record_own_answer(self._clock())
             await table.apply_snapshot(snapshot)
         else:
             # After a failure or a change of the reader, the store answers at once, so
@@ -208,7 +209,7 @@
             is_recent = self._clock() - table.read_at < RECENT_AGE_SECONDS
             wait = _WATCH_TIMEOUT_SECONDS if is_recent else 0.0
             snapshot = await table.watch(table.version, wait)
-            self.record_store_answer(self._clock())
+            self.servers.outages.record_own_answer(self._clock())
             await table.apply_changes(snapshot)
         if table.confirm_until > self._clock():
             # The read after the loss of history may have been stale.
--- a/kumquatsaddle/discovery/tests/outages.feature
+++ b/kumquatsaddle/discovery/tests/outages.feature
@@ -30,3 +30,28 @@
     Given a fleet of 4 followers that knows 3 servers
     When the store is away for 6 s and 2 entries expire meanwhile
     Then an instance that starts at its return gets the 3 servers from a peer
+
+  Scenario Outline: An instance that <trouble> takes no outage from that
+    # Guards against removed servers that a returned instance keeps, and lets its peers
+    # keep, because it knew of no answer of the store while it heard of nobody.
+    Given a fleet of 4 followers that knows 3 servers
+    When the first instance <trouble> and a server leaves right after that
+    Then all others use only the servers that are left 1.5 s after the removal
+
+    Examples:
+      | trouble                  |
+      | is restarted             |
+      | is cut off from all      |
+
+  Scenario Outline: After 6 s without an answer, <knowledge>
+    # Guards against the same, and against entries that are dropped after an outage
+    # because each instance blames its own path.
+    Then an instance that has heard <heard> meanwhile takes that for <cause>
+
+    Examples:
+      | knowledge                    | heard                            | cause           |
+      | an instance alone must guess | no other instance ever           | an outage       |
+      | silence proves nothing       | nobody                           | its own failure |
+      | all others were without, too | that the others got none either  | an outage       |
+      | one other was answered       | that one other got answers       | its own failure |
+      | one report proves nothing    | old reports and then a new one   | its own failure |
--- a/kumquatsaddle/discovery/tests/steps/directory.py
+++ b/kumquatsaddle/discovery/tests/steps/directory.py
@@ -71,15 +71,15 @@
 
 @when("the store is away for 5 seconds and its entry is removed")
 def fail_and_remove(context):
-    context.directory.outages.record_answer(5.5)
-    context.directory.outages.record_answer(10.5)
+    context.directory.outages.record_own_answer(5.5)
+    context.directory.outages.record_own_answer(10.5)
     context.directory.apply_changes([make_row(6, removed=True)], 6, 10.5)
 
 
 @when("one call to the store fails and its entry is removed")
 def fail_once_and_remove(context):
-    context.directory.outages.record_answer(9.5)
-    context.directory.outages.record_answer(10.5)
+    context.directory.outages.record_own_answer(9.5)
+    context.directory.outages.record_own_answer(10.5)
     assert context.directory.apply_changes([make_row(6, removed=True)], 6, 10.5)
 
 
@@ -95,10 +95,10 @@
 
 @then("it is dropped 2.5 seconds after the store works again")
 def check_dropped(context):
-    context.directory.outages.record_answer(12.0)
+    context.directory.outages.record_own_answer(12.0)
     assert not context.directory.expire_kept(12.0)
     check_listed(context)
-    context.directory.outages.record_answer(13.0)
+    context.directory.outages.record_own_answer(13.0)
     assert context.directory.expire_kept(13.0)
     check_empty(context)
 
@@ -106,7 +106,7 @@
 @then("the server is listed 10 seconds later")
 def check_listed_later(context):
     for now in range(12, 22):
-        context.directory.outages.record_answer(now)
+        context.directory.outages.record_own_answer(now)
         context.directory.expire_kept(now)
     check_listed(context)
 
--- a/kumquatsaddle/discovery/tests/steps/follower.py
+++ b/kumquatsaddle/discovery/tests/steps/follower.py
@@ -342,18 +342,18 @@
 @then("a server that may only have lapsed is kept while the store does not answer")
 def check_lapse(context):
     async def act(follower, older, newer):
-        follower.record_store_answer(trio.current_time())
+        follower.servers.outages.record_own_answer(trio.current_time())
         await trio.sleep(5)
         await fetch_from(follower, newer)
         assert list_names(follower) == ["a", "b"]
         await trio.sleep(5)
         follower.servers.expire_kept(trio.current_time())
         assert list_names(follower) == ["a", "b"]
-        follower.record_store_answer(trio.current_time())
+        follower.servers.outages.record_own_answer(trio.current_time())
         follower.servers.expire_kept(trio.current_time())
         assert list_names(follower) == ["a", "b"]
         await trio.sleep(3)
-        follower.record_store_answer(trio.current_time() - 1)
+        follower.servers.outages.record_own_answer(trio.current_time() - 1)
         follower.servers.expire_kept(trio.current_time())
         assert list_names(follower) == ["a"]
 
@@ -365,7 +365,7 @@
     async def act(follower, older, newer):
         removal = make_listed_row("b", 50, removed=True)
         await older._apply_server_changes(Snapshot([removal], 50))
-        follower.record_store_answer(trio.current_time())
+        follower.servers.outages.record_own_answer(trio.current_time())
         await trio.sleep(5)
         await fetch_from(follower, older)
         assert list_names(follower) == ["a"]
--- a/kumquatsaddle/discovery/tests/steps/outages.py
+++ b/kumquatsaddle/discovery/tests/steps/outages.py
@@ -2,6 +2,7 @@
 import trio.testing
 from behave import given, then, when
 
+from kumquatsaddle.discovery.outages import StoreOutages
 from kumquatsaddle.discovery.servers import ServerDirectory
 from kumquatsaddle.testing.discovery import FollowerFleet
 
@@ -130,9 +131,66 @@
             now = trio.current_time()
             rows, complete_version = peer.servers.list_changes(0, now)
             started = ServerDirectory()
-            started.outages.record_answer(now)
+            started.outages.record_own_answer(now)
             started.apply_peer_changes(rows, 0, complete_version, now)
             names = sorted(record.name for record in started.list_records())
             assert names == SERVERS, name
 
     run(context, act)
+
+
+@when("the first instance {trouble} and a server leaves right after that")
+def disturb(context, trouble):
+    async def is_restarted(fleet, nursery):
+        fleet.restart("i0", nursery)
+        await trio.sleep(0.6)
+
+    async def is_cut_off_from_all(fleet, nursery):
+        fleet.access["i0"].cut()
+        fleet.silent.add("i0")
+        await trio.sleep(6)
+        fleet.access["i0"].heal()
+        fleet.silent.remove("i0")
+        await trio.sleep(0.5)
+
+    context.disturb = {
+        "is restarted": is_restarted,
+        "is cut off from all": is_cut_off_from_all,
+    }[trouble]
+
+
+@then("all others use only the servers that are left 1.5 s after the removal")
+def check_undisturbed(context):
+    async def act(fleet):
+        async with trio.open_nursery() as nursery:
+            await context.disturb(fleet, nursery)
+            fleet.store.write_server("a", removed=True)
+            await trio.sleep(1.5)
+            for name in list(fleet.followers)[1:]:
+                assert fleet.list_servers(name) == ["b", "c"], name
+            nursery.cancel_scope.cancel()
+
+    run(context, act)
+
+
+# The reports of other instances in the 6 s: when each comes and the age that it states.
+HEARD = {
+    "no other instance ever": [],
+    "nobody": [],
+    "that the others got none either": [(t / 2, t / 2 + 0.3) for t in range(1, 12)],
+    "that one other got answers": [(t / 2, 0.5 + t % 2 * t / 2) for t in range(1, 12)],
+    "old reports and then a new one": [(5.9, 20.0), (5.91, 7.0), (5.92, 0.1)],
+}
+
+
+@then("an instance that has heard {heard} meanwhile takes that for {cause}")
+def check_cause(context, heard, cause):
+    outages = StoreOutages()
+    if heard != "no other instance ever":
+        outages.record_peer_answer(99.8, 100.0)
+    outages.record_own_answer(100.0)
+    for time, age in HEARD[heard]:
+        outages.record_peer_answer(100.0 + time - age, 100.0 + time)
+    outages.record_own_answer(106.0)
+    keeps = outages.get_return_deadline(106.0) > 106.0
+    assert keeps == (cause == "an outage")
--- a/kumquatsaddle/lifecycle/routed_node.py
+++ b/kumquatsaddle/lifecycle/routed_node.py
@@ -164,9 +164,9 @@
         """Return the age of the last known state of the store, in seconds."""
         return self.follower.get_read_age()
 
-    def record_store_answer(self, time):
-        """Record when the store answered an instance, on the clock of trio."""
-        self.follower.record_store_answer(time)
+    def record_peer_answer(self, age):
+        """Record how long ago the store answered another instance, in seconds."""
+        self.follower.record_peer_answer(age)
 
     def make_update(self, fetch):
         """Return the update that answers the fetch of a peer."""
--- a/kumquatsaddle/testing/discovery.py
+++ b/kumquatsaddle/testing/discovery.py
@@ -192,6 +192,8 @@
         names = [record.name for record in self._fleet.records.values()]
         fetch = Fetch(self._name, routes_after, servers_after, wants)
         for name in names:
+            if name in self._fleet.silent or self._name in self._fleet.silent:
+                continue
             if self._fleet.records[name].control == address:
                 update = self._fleet.followers[name].make_update(fetch)
                 return decode_update(encode_update(update))
@@ -210,6 +212,8 @@
     store : MemoryStore
     access : dict of str to PartitionedStore
     followers : dict of str to Follower
+    silent : set of str
+        Instances that neither send nor get reports and answer no fetch.
     """
 
     def __init__(self, names):
@@ -219,6 +223,8 @@
         self.records = {
             name: make_instance(name, port) for port, name in enumerate(names, 2)
         }
+        self.silent = set()
+        self._incarnations = dict.fromkeys(names, 1)
         self.access = {name: PartitionedStore(self.store) for name in names}
         self.followers = {name: self._make_follower(name) for name in names}
 
@@ -227,6 +233,21 @@
         records = self.followers[name].servers.list_records()
         return sorted(record.name for record in records)
 
+    def restart(self, name, nursery):
+        """Replace the follower of an instance by a new one without any state.
+
+        Parameters
+        ----------
+        name : str
+        nursery : trio.Nursery
+            Runs the new follower; the old one stays without effect.
+        """
+        self._incarnations[name] += 1
+        self.access[name].cut()
+        self.access[name] = PartitionedStore(self.store)
+        self.followers[name] = self._make_follower(name)
+        nursery.start_soon(self.followers[name].run)
+
     async def run(self):
         """Run the followers and their reports until cancelled."""
         async with trio.open_nursery() as nursery:
@@ -250,14 +271,16 @@
         while True:
             sequence += 1
             for name, follower in self.followers.items():
-                self._deliver_report(name, follower, sequence)
+                if name not in self.silent:
+                    self._deliver_report(name, follower, sequence)
+                follower._peers.expire(trio.current_time())
             await trio.sleep(_REPORT_INTERVAL_SECONDS)
 
     def _deliver_report(self, name, follower, sequence):
         row = follower.routes_row
         report = Report(
             self.records[name],
-            1,
+            self._incarnations[name],
             sequence,
             True,
             False,
@@ -267,7 +290,7 @@
             (),
             interval=_REPORT_INTERVAL_SECONDS,
         )
-        for other in self.followers.values():
-            if other is not follower:
+        for other_name, other in self.followers.items():
+            if other is not follower and other_name not in self.silent:
                 peer = other._peers.accept_report(report, trio.current_time())
                 other.fetch_if_newer(peer)
