--- /dev/null
+++ b/kumquatsaddle/accounts/__init__.py
@@ -0,0 +1,10 @@
+"""Client accounts of the published configuration: API keys, ranks and quotas."""
+
+from kumquatsaddle.accounts.table import (
+    AccountTable,
+    ClientAccount,
+    Quota,
+    make_account_table,
+)
+
+__all__ = ["AccountTable", "ClientAccount", "Quota", "make_account_table"]
--- /dev/null
+++ b/kumquatsaddle/accounts/table.py
@@ -0,0 +1,126 @@
+"""The client accounts of one version of the published configuration.
+
+Only digests of the API keys are kept, so that neither a log line nor a memory image
+contains a key. A key is looked up by its digest: how long a look-up takes tells nothing
+about the keys, because a caller cannot choose the bytes of a digest.
+"""
+
+from dataclasses import dataclass
+from hashlib import blake2b
+
+from kumquatsaddle.exceptions import ConfigurationError
+from kumquatsaddle.types import AccountId, KeyDigest, Rank
+
+__all__ = ["AccountTable", "ClientAccount", "Quota", "make_account_table"]
+
+_DIGEST_BYTES = 16
+
+
+@dataclass(frozen=True, slots=True)
+class Quota:
+    """The request rate that an account may use at all instances together.
+
+    Parameters
+    ----------
+    rate : float
+        Requests a second.
+    burst : float
+        Requests in addition to the rate.
+    """
+
+    rate: float
+    burst: float
+
+
+@dataclass(frozen=True, slots=True)
+class ClientAccount:
+    """A client account.
+
+    Parameters
+    ----------
+    name : AccountId
+    rank : Rank or None
+        Takes precedence over the rank of the route; None keeps that.
+    quota : Quota or None
+        None is no limit.
+    """
+
+    name: AccountId
+    rank: Rank | None = None
+    quota: Quota | None = None
+
+
+class AccountTable:
+    """The accounts by name and by API key.
+
+    Parameters
+    ----------
+    accounts : dict of AccountId to ClientAccount
+    names_by_digest : dict of KeyDigest to AccountId
+    """
+
+    def __init__(self, accounts, names_by_digest):
+        self.accounts = accounts
+        self._names_by_digest = names_by_digest
+
+    def __len__(self):
+        return len(self.accounts)
+
+    def find_by_key(self, key):
+        """Return the account that holds an API key, or None.
+
+        Parameters
+        ----------
+        key : bytes
+        """
+        name = self._names_by_digest.get(_compute_key_digest(key))
+        return None if name is None else self.accounts[name]
+
+    def holds_key(self, key, name):
+        """Return whether an account holds an API key.
+
+        Parameters
+        ----------
+        key : bytes
+        name : AccountId
+        """
+        return self._names_by_digest.get(_compute_key_digest(key)) == name
+
+
+def make_account_table(accounts_and_keys):
+    """Return the table of accounts with their API keys.
+
+    Parameters
+    ----------
+    accounts_and_keys : iterable of (ClientAccount, iterable of bytes)
+
+    Raises
+    ------
+    ConfigurationError
+        If two accounts have the same name or the same key. The error does not name the
+        key.
+
+    Examples
+    --------
+    >>> table = make_account_table([(ClientAccount("farms"), [b"k1", b"k2"])])
+    >>> table.find_by_key(b"k2").name
+    'farms'
+    >>> table.find_by_key(b"k3") is None
+    True
+    """
+    accounts, names_by_digest = {}, {}
+    for account, keys in accounts_and_keys:
+        if account.name in accounts:
+            raise ConfigurationError("two accounts have this name", account.name)
+        accounts[account.name] = account
+        for key in keys:
+            digest = _compute_key_digest(key)
+            if names_by_digest.setdefault(digest, account.name) != account.name:
+                raise ConfigurationError(
+                    "an API key belongs to another account as well", account.name
+                )
+    return AccountTable(accounts, names_by_digest)
+
+
+def _compute_key_digest(key):
+    return KeyDigest(blake2b(key, digest_size=_DIGEST_BYTES).digest())
--- a/kumquatsaddle/balance/attempts.py
+++ b/kumquatsaddle/balance/attempts.py
@@ -152,6 +152,8 @@
     headers.append((protocol.deadline, str(remaining).encode()))
     if protocol.expected_server:
         headers.append((protocol.expected_server, server.name.encode()))
+    if protocol.account and request.account is not None:
+        headers.append((protocol.account, request.account.name.encode()))
     if request.body or not request.idempotent:
         headers.append((b"content-length", str(len(request.body)).encode()))
     return headers
--- a/kumquatsaddle/balance/requests.py
+++ b/kumquatsaddle/balance/requests.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from kumquatsaddle.accounts import ClientAccount
 from kumquatsaddle.balance.fatal_requests import compute_digest
 from kumquatsaddle.routes.table import PublishedRoute
 from kumquatsaddle.types import RequestDigest, ServiceName
@@ -32,6 +33,8 @@
         Further attempts if the next one fails.
     kilobytes : float
         Expected size of the bodies of the request and its answer together.
+    account : ClientAccount or None
+        Of the caller; None on a public route and where there are no accounts.
     """
 
     request_id: bytes
@@ -45,6 +48,7 @@
     deadline: float
     attempts_left: int = 1
     kilobytes: float = 0.0
+    account: ClientAccount | None = None
     _digest: RequestDigest | None = None
 
     @property
@@ -61,5 +65,7 @@
 
     @property
     def rank(self):
-        """Rank of the route."""
+        """Rank of the account if it has one, else of the route."""
+        if self.account is not None and self.account.rank is not None:
+            return self.account.rank
         return self.route.rank
--- a/kumquatsaddle/dispatch/protocol.py
+++ b/kumquatsaddle/dispatch/protocol.py
@@ -32,6 +32,8 @@
         in trouble repeats it in each answer.
     leaving : bytes
         Present in the answers of a server that is about to shut down.
+    account : bytes
+        Name of the client account of a request.
     allows_close_delimited : bool
         Whether the end of the connection may delimit an answer (RFC 9112, section 6.3).
     skips_unmatched_answers : bool
@@ -46,6 +48,7 @@
     signature: bytes = b""
     rate_limit: bytes = b""
     leaving: bytes = b""
+    account: bytes = b""
     allows_close_delimited: bool = False
     skips_unmatched_answers: bool = False
 
--- a/kumquatsaddle/entry/routed.py
+++ b/kumquatsaddle/entry/routed.py
@@ -10,6 +10,8 @@
 
 from kumquatsaddle.balance.requests import RoutedRequest
 from kumquatsaddle.dispatch.answers import HOP_BY_HOP_HEADERS
+from kumquatsaddle.entry.authentication import AUTHORIZATION_HEADER, authenticate
+from kumquatsaddle.exceptions import RefusedError
 from kumquatsaddle.exchange import Answer
 from kumquatsaddle.logs import log_event
 from kumquatsaddle.types import Outcome, RefusalReason
@@ -43,10 +45,13 @@
         Header with the id of a request, repeated in each answer by the fleet itself.
     deadline : bytes
         Header with the time in milliseconds that the caller waits for the answer.
+    account : bytes
+        Header with the client account, which only the fleet may set.
     """
 
     request_id: bytes
     deadline: bytes
+    account: bytes = b""
 
 
 class RoutedProxy:
@@ -133,20 +138,29 @@
         route = _match_route(table, caller_request)
         if route is None:
             return self._refuse(request_id, RefusalReason.UNKNOWN_ROUTE, table.version)
+        headers, account = _select_end_to_end_headers(caller_request.headers), None
+        if table.accounts is not None:
+            if not route.public:
+                try:
+                    account, _ = authenticate(caller_request.headers, table.accounts)
+                except RefusedError as error:
+                    return self._refuse(request_id, error.reason, table.version)
+            headers = self._remove_account_headers(headers)
         timeout = self._read_timeout(caller_request.headers)
         request = RoutedRequest(
             request_id=request_id,
             method=caller_request.method,
             target=caller_request.target,
-            headers=_select_end_to_end_headers(caller_request.headers),
+            headers=headers,
             body=caller_request.body,
             route=route,
             service=self._choose_service(route),
             arrived=arrived,
             deadline=arrived + min(timeout - _DEADLINE_MARGIN_SECONDS, route.timeout),
+            account=account,
         )
         answer = await self._dispatcher.dispatch(request)
-        self._metrics.observe_latency(route.rank, trio.current_time() - arrived)
+        self._metrics.observe_latency(request.rank, trio.current_time() - arrived)
         return answer
 
     def _refuse(self, request_id, reason, version=""):
@@ -158,6 +172,11 @@
         )
         return Answer.from_reason(reason)
 
+    def _remove_account_headers(self, headers):
+        """Return headers without the API key and the account that the caller sent."""
+        removed = (AUTHORIZATION_HEADER, self._protocol.account)
+        return [item for item in headers if item[0] not in removed]
+
     def _read_timeout(self, headers):
         value = _get_first_value(headers, self._protocol.deadline) or b""
         if not value.isdigit() or len(value) > _MAX_TIMEOUT_DIGITS:
--- a/kumquatsaddle/routes/table.py
+++ b/kumquatsaddle/routes/table.py
@@ -56,6 +56,8 @@
     max_attempts : int
         Most backend servers to which one request may be sent.
     shares : tuple of RouteShare
+    public : bool
+        Whether a request needs no API key where there are client accounts.
     """
 
     name: str
@@ -67,6 +69,7 @@
     rank: Rank
     max_attempts: int
     shares: tuple[RouteShare, ...]
+    public: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -114,12 +117,15 @@
     services : dict of ServiceName to PublishedService
     limits : CallerLimits or None
         None keeps the limits of the settings.
+    accounts : AccountTable or None
+        None serves callers without API keys.
     """
 
-    def __init__(self, version, routes, services, limits=None):
+    def __init__(self, version, routes, services, limits=None, accounts=None):
         self.version = version
         self.services = services
         self.limits = limits
+        self.accounts = accounts
         self._by_host = {}
         for route in routes:
             prefixes = self._by_host.setdefault(route.host, {})
@@ -201,7 +207,7 @@
         return chosen
 
 
-def make_route_table(version, routes, services, limits=None):
+def make_route_table(version, routes, services, limits=None, accounts=None):
     """Return a validated table; see `RouteTable`.
 
     Raises
@@ -226,7 +232,7 @@
     routes = list(routes)
     for route in routes:
         _check_route(route, services)
-    return RouteTable(ConfigVersion(version), routes, services, limits)
+    return RouteTable(ConfigVersion(version), routes, services, limits, accounts)
 
 
 def _check_route(route, services):
