Divide the retry allowance among the instances that callers use

Cause: each of 116 instances had the same part of the fixed allowance, though callers are sent to about 20 of them; retries of downloads were denied while most of it was unused. Change: active instances divide four fifths of it, all instances the rest. An instance uses the larger part only after a whole window as an active one, so that a window in which the active instances change stays within the allowance (property test). One that does not hear most of its zone has the smaller part.

--- a/kumquatsaddle/balance/budget.py
+++ b/kumquatsaddle/balance/budget.py
@@ -1,7 +1,8 @@
 """The retry budget of one service.
 
-The bound holds over all instances without coordination: each instance takes an equal
-share of the fixed allowance, and a share of the requests that it received itself.
+The bound holds over all instances without a message before a retry: each instance takes
+a part of the fixed allowance, see `kumquatsaddle.balance.allowance`, and a share of the
+requests that it received itself.
 """
 
 from collections import deque
@@ -71,15 +72,15 @@
 
     Attributes
     ----------
-    instances : int
-        Number of instances that divide the allowance.
+    fraction : float
+        Part of the allowance that this instance may use, 0 to 1.
     """
 
     def __init__(self, share, allowance, window):
         self.share = share
         self.allowance = allowance
         self.window = window
-        self.instances = 1
+        self.fraction = 1.0
 
     def compute_max_retries(self, requests):
         """Return the retries allowed for a number of requests in a window.
@@ -87,4 +88,4 @@
         An instance that has just started counts few requests, so it stays below the
         bound of the fleet.
         """
-        return self.share * requests + self.allowance / max(1, self.instances)
+        return self.share * requests + self.allowance * self.fraction
--- a/kumquatsaddle/balance/tests/steps/budget.py
+++ b/kumquatsaddle/balance/tests/steps/budget.py
@@ -2,6 +2,7 @@
 from hypothesis import given as for_all
 from hypothesis import strategies as st
 
+from kumquatsaddle.balance.allowance import AllowanceShare
 from kumquatsaddle.balance.budget import RetryLimits, SlidingRetryBudget
 
 SHARE, ALLOWANCE, WINDOW = 0.2, 6.0, 10.0
@@ -20,7 +21,7 @@
         budgets = []
         for _ in range(INSTANCES):
             limits = RetryLimits(SHARE, ALLOWANCE, WINDOW)
-            limits.instances = INSTANCES
+            limits.fraction = 1 / INSTANCES
             budgets.append(SlidingRetryBudget(limits, lambda: now))
         for pause, index, kind in events:
             now += pause
@@ -49,3 +50,39 @@
         now += 1.0
         budget.add_request()
     assert len(budget) <= WINDOW + 1, len(budget)
+
+
+@then("the allowance holds however often the active instances change")
+def check_allowance(context):
+    count, active_count = 6, 2
+    event = st.tuples(
+        st.floats(0, 4),
+        st.sets(st.integers(0, count - 1), max_size=active_count),
+        st.integers(0, count - 1),
+        st.integers(1, 9),
+    )
+
+    @for_all(st.lists(event, max_size=80))
+    def check(events):
+        now, retries = 0.0, []
+        shares = [AllowanceShare() for _ in range(count)]
+        limits = [RetryLimits(0.0, 60.0, WINDOW) for _ in range(count)]
+        budgets = [SlidingRetryBudget(item, lambda: now) for item in limits]
+        for pause, active, caller, wanted in events:
+            now += pause
+            for index, share in enumerate(shares):
+                share.update(now, WINDOW, index in active, active_count, count)
+                limits[index].fraction = share.fraction
+            retries += [now for _ in range(wanted) if budgets[caller].try_withdraw()]
+            made = sum(time >= now - WINDOW for time in retries)
+            assert made <= 60.0, made
+
+    check()
+
+
+@then("an instance that stays active may use {part:d} of {active:d} parts of {whole:d}")
+def check_active_share(context, part, active, whole):
+    share = AllowanceShare()
+    for now in range(0, int(WINDOW) + 1):
+        share.update(float(now), WINDOW, True, active, 100)
+    assert share.fraction * whole >= part, share.fraction
--- a/kumquatsaddle/lifecycle/routed_node.py
+++ b/kumquatsaddle/lifecycle/routed_node.py
@@ -38,8 +38,6 @@
 # Delay between attempts to call the store, and before the second listing of instances.
 _REGISTRATION_RETRY_SECONDS = 0.5
 _SECOND_LISTING_DELAY_SECONDS = 4.0
-# Number of instances among which the retry limits are divided before the first listing.
-_INITIAL_INSTANCE_COUNT = 64
 # Interval between attempts to reach the seed addresses until a peer is heard.
 _JOIN_INTERVAL_SECONDS = 0.3
 _SETTINGS_POLL_SECONDS = 1.0
@@ -121,7 +119,6 @@
             settings.get("repeats", "allowance"),
             settings.get("repeats", "window"),
         )
-        self.dispatcher.retry_limits.instances = _INITIAL_INSTANCE_COUNT
         apply_answer_limits(self.dispatcher, settings)
         self.follower = make_follower(
             parts.store, self.peers, self._update_servers, self._update_routes
@@ -266,7 +263,6 @@
             now = trio.current_time()
             for record in records:
                 self.peers.add_instance(record, now)
-            self.dispatcher.retry_limits.instances = len(self.peers.instances)
             log_event("instances_listed", instances=len(records))
             self._introduce_to_unheard_peers()
 
--- a/kumquatsaddle/sharing/exchange.py
+++ b/kumquatsaddle/sharing/exchange.py
@@ -10,6 +10,7 @@
 
 import trio
 
+from kumquatsaddle.balance.allowance import AllowanceShare
 from kumquatsaddle.balance.beliefs import Observation
 from kumquatsaddle.balance.limit_shares import LimitShares
 from kumquatsaddle.exceptions import MessageError
@@ -80,6 +81,7 @@
         dispatcher.on_load_changed = self._on_load
         self._announcements = SharedAnnouncements(dispatcher)
         self._limit_shares = LimitShares(peers.own)
+        self._allowance_share = AllowanceShare()
         self._attended_zones = frozenset()
         self._summaries = SummaryExchange(
             self,
@@ -183,9 +185,23 @@
         if self._limit_shares.update(names, self._attended_zones):
             self._dispatcher.update_limit_shares()
 
+    def _update_allowance(self, active):
+        """Compute the part of the retry allowance that this instance may use."""
+        limits, own = self._dispatcher.retry_limits, self.peers.own.name
+        is_active = any(record.name == own for record in active)
+        self._allowance_share.update(
+            trio.current_time(),
+            limits.window,
+            is_active and self.peers.hears_majority(),
+            self.peers.count_expected_active(),
+            len(self.peers.instances),
+        )
+        limits.fraction = self._allowance_share.fraction
+
     async def _send_reports(self):
         while True:
             active = self._node.list_active()
+            self._update_allowance(active)
             self._schedule.update(active, self._node.get_read_age())
             self._update_limit_shares(active)
             due = self._last_round_at + self._schedule.get_round_interval()
--- a/kumquatsaddle/sharing/peers.py
+++ b/kumquatsaddle/sharing/peers.py
@@ -158,6 +158,20 @@
         alive = [peer for peer in self.peers.values() if peer.alive]
         return sorted(alive, key=lambda peer: peer.record.name)
 
+    def hears_majority(self):
+        """Return whether more than half of the instances of the zone are in contact.
+
+        An instance that is cut off cannot tell what the others of its zone decide.
+        """
+        heard = 1 + sum(peer.alive for peer in self.peers.values())
+        return 2 * heard > 1 + len(self.peers)
+
+    def count_expected_active(self):
+        """Return how many instances of all zones are active while all of them serve."""
+        zones = [1 + len(self.peers)]
+        zones += [len(records) for records in self.group_other_zones().values()]
+        return sum(map(_count_active, zones))
+
     def find_leader(self):
         """Return the name of the zone leader: of the live instances, the first by name.
 
@@ -199,8 +213,12 @@
         if is_serving:
             serving.append((capacity, self.own))
         serving.sort(key=_compute_sort_key)
-        number = max(_MIN_ACTIVE, ceil(len(serving) * _ACTIVE_FRACTION))
-        return [record for _, record in serving[:number]]
+        return [record for _, record in serving[: _count_active(len(serving))]]
+
+
+def _count_active(serving):
+    """Return how many of the serving instances of a zone are active."""
+    return max(_MIN_ACTIVE, ceil(serving * _ACTIVE_FRACTION))
 
 
 def _compute_sort_key(item):
