Bound the cost of fetching a large answer from another zone

Cause: the cost of crossing zones grew with the size of the answer without a bound, so that a download of 90 KB rather went to a gray server of its zone, also for its only retry, than to a healthy one elsewhere. Change: the cost is at most 0.3, less than that of a server that is probably gray. Measured: the new scenario fails without the change.

--- a/kumquatsaddle/balance/choice.py
+++ b/kumquatsaddle/balance/choice.py
@@ -28,6 +28,9 @@
         Cost of a server whose slots are all taken; less in proportion to its load.
     other_zone, other_zone_kilobyte : float
         Cost of a server in another zone, and of each kilobyte that crosses zones.
+    max_transfer : float
+        Bound on the cost of crossing zones. Without it, a large answer would rather be
+        fetched from a gray server of this zone than from a healthy one elsewhere.
     slow : float
         Cost per unit of slowdown above 1.5 times the expected response time.
     cold : float
@@ -56,6 +59,7 @@
     load: float = 0.05
     other_zone: float = 0.06
     other_zone_kilobyte: float = 0.018
+    max_transfer: float = 0.3
     slow: float = 0.15
     cold: float = 0.1
     untried: float = -0.2
@@ -118,7 +122,7 @@
     cost += weights.load * server.in_flight / record.slots
     cost += weights.slow * max(0.0, server.estimate_slowdown(now) - 1.5)
     if record.zone != zone:
-        cost += weights.other_zone + weights.other_zone_kilobyte * request.kilobytes
+        cost += _compute_transfer_cost(request, weights)
         is_unattended = record.zone in unattended
         max_explored_failure = (
             MAX_EXPLORABLE_FAILURE if is_unattended else NO_EXPLORATION
@@ -183,9 +187,7 @@
     extra_requests = _EXTRA_REQUESTS_BY_RANK[request.rank]
     # Lower bound of the cost of a server in another zone. At the target fleet size it
     # skips most servers before their cost is computed.
-    min_cross_zone_cost = (
-        weights.other_zone + weights.other_zone_kilobyte * request.kilobytes
-    )
+    min_cross_zone_cost = _compute_transfer_cost(request, weights)
     for server in servers:
         record = server.record
         is_full = server.in_flight >= record.slots + extra_requests
@@ -222,6 +224,12 @@
     return best
 
 
+def _compute_transfer_cost(request, weights):
+    """Return the cost of sending a request to another zone."""
+    transfer = weights.other_zone_kilobyte * request.kilobytes
+    return min(weights.other_zone + transfer, weights.max_transfer)
+
+
 def _compute_elapsed_share(request, now):
     """Return the share of the time from arrival to deadline that has passed."""
     return (now - request.arrived) / max(request.deadline - request.arrived, 0.001)
--- a/kumquatsaddle/balance/tests/evidence.feature
+++ b/kumquatsaddle/balance/tests/evidence.feature
@@ -32,6 +32,10 @@
     Then a healthy server of this zone is preferred to a healthy one of another
     And a server of another zone is preferred to one of this zone that failed fast
 
+  Scenario: The size of an answer does not outweigh a failure
+    # Guards against downloads whose only retry goes to a gray server of this zone.
+    Then a large answer comes from another zone rather than from a server that failed fast
+
   Scenario: A slow server is passed over before its answer comes
     # Guards against requests that pile up at a server that hangs.
     Then a server with an overdue request costs more than one without
--- a/kumquatsaddle/balance/tests/steps/evidence.py
+++ b/kumquatsaddle/balance/tests/steps/evidence.py
@@ -191,6 +191,21 @@
     assert choose_server([there, here], make_request(), 0.1, "here") is there
 
 
+@then(
+    "a large answer comes from another zone rather than from a server that failed fast"
+)
+def check_large_answer(context):
+    here, there = (
+        make_healthy(make_server("a")),
+        make_healthy(make_server("b", "there")),
+    )
+    request = make_request(idempotent=True, kilobytes=540.0)
+    request.attempts_left = 0
+    assert choose_server([there, here], request, 0.1, "here") is here
+    here.observe(0.0, Observation.FAILED_FAST)
+    assert choose_server([there, here], request, 0.1, "here") is there
+
+
 @then("a server with an overdue request costs more than one without")
 def check_overdue(context):
     slow, other = make_healthy(make_server("slow")), make_healthy(make_server("other"))
