Pass configurations on between instances without API keys

Cause: an instance kept the text of the configuration with all API keys and sent it to other instances as it was; an error text of Python could show a key that is not valid Unicode. Change: the text in force has a digest in the place of each key, as soon as it has been read from the store.

--- a/kumquatsaddle/accounts/__init__.py
+++ b/kumquatsaddle/accounts/__init__.py
@@ -4,7 +4,14 @@
     AccountTable,
     ClientAccount,
     Quota,
+    compute_key_digest,
     make_account_table,
 )
 
-__all__ = ["AccountTable", "ClientAccount", "Quota", "make_account_table"]
+__all__ = [
+    "AccountTable",
+    "ClientAccount",
+    "Quota",
+    "compute_key_digest",
+    "make_account_table",
+]
--- a/kumquatsaddle/accounts/table.py
+++ b/kumquatsaddle/accounts/table.py
@@ -11,7 +11,13 @@
 from kumquatsaddle.exceptions import ConfigurationError
 from kumquatsaddle.types import AccountId, KeyDigest, Rank
 
-__all__ = ["AccountTable", "ClientAccount", "Quota", "make_account_table"]
+__all__ = [
+    "AccountTable",
+    "ClientAccount",
+    "Quota",
+    "compute_key_digest",
+    "make_account_table",
+]
 
 _DIGEST_BYTES = 16
 
@@ -73,26 +79,49 @@
         ----------
         key : bytes
         """
-        name = self._names_by_digest.get(_compute_key_digest(key))
+        return self.find_by_digest(compute_key_digest(key))
+
+    def find_by_digest(self, digest):
+        """Return the account that holds the API key with a digest, or None.
+
+        Parameters
+        ----------
+        digest : KeyDigest
+        """
+        name = self._names_by_digest.get(digest)
         return None if name is None else self.accounts[name]
 
-    def holds_key(self, key, name):
-        """Return whether an account holds an API key.
+    def holds_key(self, digest, name):
+        """Return whether an account holds the API key with a digest.
 
         Parameters
         ----------
-        key : bytes
+        digest : KeyDigest
         name : AccountId
         """
-        return self._names_by_digest.get(_compute_key_digest(key)) == name
+        return self._names_by_digest.get(digest) == name
+
+    def count_keys(self):
+        """Return the number of API keys of all accounts."""
+        return len(self._names_by_digest)
 
 
-def make_account_table(accounts_and_keys):
+def compute_key_digest(key):
+    """Return the digest of an API key.
+
+    Parameters
+    ----------
+    key : bytes
+    """
+    return KeyDigest(blake2b(key, digest_size=_DIGEST_BYTES).digest())
+
+
+def make_account_table(accounts_and_digests):
     """Return the table of accounts with their API keys.
 
     Parameters
     ----------
-    accounts_and_keys : iterable of (ClientAccount, iterable of bytes)
+    accounts_and_digests : iterable of (ClientAccount, iterable of KeyDigest)
 
     Raises
     ------
@@ -102,25 +131,21 @@
 
     Examples
     --------
-    >>> table = make_account_table([(ClientAccount("farms"), [b"k1", b"k2"])])
+    >>> digests = [compute_key_digest(b"k1"), compute_key_digest(b"k2")]
+    >>> table = make_account_table([(ClientAccount("farms"), digests)])
     >>> table.find_by_key(b"k2").name
     'farms'
     >>> table.find_by_key(b"k3") is None
     True
     """
     accounts, names_by_digest = {}, {}
-    for account, keys in accounts_and_keys:
+    for account, digests in accounts_and_digests:
         if account.name in accounts:
             raise ConfigurationError("two accounts have this name", account.name)
         accounts[account.name] = account
-        for key in keys:
-            digest = _compute_key_digest(key)
+        for digest in digests:
             if names_by_digest.setdefault(digest, account.name) != account.name:
                 raise ConfigurationError(
                     "an API key belongs to another account as well", account.name
                 )
     return AccountTable(accounts, names_by_digest)
-
-
-def _compute_key_digest(key):
-    return KeyDigest(blake2b(key, digest_size=_DIGEST_BYTES).digest())
--- a/kumquatsaddle/discovery/follower.py
+++ b/kumquatsaddle/discovery/follower.py
@@ -279,7 +279,7 @@
         if self.routes_row is not known:
             self._report_to_peers()
 
-    def _apply_route_row(self, row):
+    def _apply_route_row(self, row, from_peer=False):
         known = self.routes_row
         if known is not None and row.version <= known.version:
             return
@@ -297,6 +297,8 @@
                 f"{self.routes.version}",
             )
             return
+        if routes.accounts is not None and not from_peer:
+            row = RouteRow(row.version, self._store.hide_keys(row.text))
         self.routes, self.routes_row = routes, row
         log_event("routes_in_force", version=routes.version, row=row.version)
         self._on_routes(routes)
@@ -357,7 +359,9 @@
         for record in update.instances:
             self._peers.add_instance(record, now)
         if update.routes:
-            self._apply_route_row(RouteRow(update.routes_version, update.routes))
+            self._apply_route_row(
+                RouteRow(update.routes_version, update.routes), from_peer=True
+            )
         rows = [self._parse_row(row) for row in update.rows]
         if self.servers.apply_peer_changes(
             rows, update.servers_version, update.complete_version, now
--- a/kumquatsaddle/discovery/store.py
+++ b/kumquatsaddle/discovery/store.py
@@ -33,7 +33,8 @@
     version : int
         Version of the row in the store.
     text : bytes
-        Routes in the encoding of the platform; see `DiscoveryStore.parse_routes`.
+        Routes in the encoding of the platform; see `DiscoveryStore.parse_routes`. Of
+        the routes in force, as `DiscoveryStore.hide_keys` returns them.
     """
 
     version: int
@@ -74,5 +75,8 @@
     def parse_routes(self, text: bytes):
         """Decode a `RouteTable`; raise `ConfigurationError` if it is invalid."""
 
+    def hide_keys(self, text: bytes) -> bytes:
+        """Return valid routes with digests in the place of the API keys."""
+
     def parse_server(self, key: str, text: bytes):
         """Decode a `ServerRecord`; raise `ConfigurationError` if it is invalid."""
