Hold requests to the API keys in force when they are sent

Cause: the key of a request was checked once, when the request was accepted. A request that waited in the queue, for a connection or for a retry was sent although its key had been revoked meanwhile. An instance that was cut off from the store used its keys for good. Responses with 401 had no challenge. Change: the dispatcher checks the key again before it chooses a server and before the first byte is written, and refuses the waiting requests with a revoked key as soon as a version revokes it. `[accounts] revoke_when_partitioned` and `revoke_after` refuse requests that need a key with 503 (keys_stale) when neither the store nor a report of another instance has shown for that time that the routes known here are the newest.

--- a/kumquatsaddle/balance/attempts.py
+++ b/kumquatsaddle/balance/attempts.py
@@ -25,6 +25,13 @@
 # A 504 received less than this before the deadline counts as caused by the deadline.
 _DEADLINE_MARGIN_SECONDS = 0.1
 
+# Why a request that had been assigned to a server was not written to it.
+_WITHDRAWAL_REASONS = (
+    RefusalReason.NO_BACKEND,
+    RefusalReason.UNAUTHORIZED,
+    RefusalReason.KEYS_STALE,
+)
+
 
 class AttemptOutcome(Enum):
     """How an attempt ended."""
@@ -39,7 +46,8 @@
     MISDIRECTED = "misdirected"
     # No byte of the request was written.
     UNREACHABLE = "unreachable"
-    # The server stopped taking requests before a byte was written.
+    # The server stopped taking requests, or the key of the request was revoked, before
+    # a byte was written.
     WITHDRAWN = "withdrawn"
     # No answer arrived before the deadline, or the request was not written before it.
     LATE = "late"
@@ -95,7 +103,9 @@
         return self.raw is not None and read_pause(self.raw) is not None
 
 
-async def run_attempt(server, request, protocol, max_answer_bytes, memory):
+async def run_attempt(
+    server, request, protocol, max_answer_bytes, memory, find_refusal
+):
     """Send a request to a server and return the `AttemptResult`.
 
     Parameters
@@ -106,6 +116,8 @@
     max_answer_bytes : int
         Longest body of an answer, in bytes.
     memory : AnswerMemory
+    find_refusal : callable
+        Returns the `RefusalReason` for which the request may not be sent, or None.
     """
     connection = raw = None
     written = False
@@ -117,6 +129,9 @@
             raise ExchangeError(RefusalReason.DEADLINE, False)
         if not server.accepts_started(now):
             raise ExchangeError(RefusalReason.NO_BACKEND, False)
+        refusal = find_refusal(request)
+        if refusal is not None:
+            raise ExchangeError(refusal, False)
         written = True
 
     try:
@@ -163,8 +178,8 @@
     """Return the result of an attempt without a whole answer."""
     if error.written:
         return AttemptResult(AttemptOutcome.LOST, Answer.from_reason(error.reason))
-    if error.reason is RefusalReason.NO_BACKEND:
-        answer = Answer.from_reason(RefusalReason.NO_BACKEND)
+    if error.reason in _WITHDRAWAL_REASONS:
+        answer = Answer.from_reason(error.reason)
         return AttemptResult(AttemptOutcome.WITHDRAWN, answer)
     if error.reason is RefusalReason.DEADLINE:
         answer = Answer.from_reason(RefusalReason.NO_BACKEND)
--- a/kumquatsaddle/balance/dispatcher.py
+++ b/kumquatsaddle/balance/dispatcher.py
@@ -44,6 +44,8 @@
 _STOP_DURATION_FACTOR = 2.0
 # Refusals that may come from the pauses of all servers.
 _PAUSE_REASONS = (RefusalReason.BACKEND_SHED, RefusalReason.NO_BACKEND)
+# Refusals that replace those of earlier attempts that have not run.
+_ACCESS_REASONS = (RefusalReason.UNAUTHORIZED, RefusalReason.KEYS_STALE)
 
 
 class BalancedDispatcher:
@@ -74,6 +76,9 @@
         this instance.
     end_records : EndRecords
         Ends of servers under requests.
+    find_access_refusal : callable
+        Returns the `RefusalReason` for which a request that was accepted may not be
+        sent by the accounts in force, or None; default: always None.
     compute_limit_share : callable
         Returns the `RateShare` of this instance for a server with a limit and the
         zones in which its service has servers; default: all of it.
@@ -91,6 +96,7 @@
         self.on_answer = lambda server, observation: None
         self.on_limit_changed = lambda server: None
         self.on_departure = lambda server, is_first_hand: None
+        self.find_access_refusal = lambda request: None
         self.compute_limit_share = lambda server, supplied_zones: WHOLE_RATE
         self._zone = zone
         self._unattended = frozenset()
@@ -227,9 +233,12 @@
             try:
                 server = await self._acquire_server(pool, request, excluded)
             except RefusedError as error:
-                answer = answer or Answer.from_reason(
+                refusal = Answer.from_reason(
                     error.reason, retry_after=error.retry_after
                 )
+                if error.reason in _ACCESS_REASONS:
+                    answer = choose_answer(answer, refusal)
+                answer = answer or refusal
                 break
             if outcome is not None:
                 self.metrics.count_retry(RETRY_REASONS[outcome])
@@ -261,6 +270,11 @@
         for pool in self.pools.values():
             pool.refuse_waiting()
 
+    def refuse_revoked(self):
+        """Refuse the waiting requests that the accounts in force do not let run."""
+        for pool in self.pools.values():
+            pool.refuse_waiting(self.find_access_refusal)
+
     def _compute_stop_duration(self, request):
         """Return the time that a request has to have until the end of the process."""
         return _STOP_DURATION_FACTOR * self.averages.estimate_seconds(request.route)
@@ -315,7 +329,11 @@
             request.deadline - _MIN_REMAINING_SHARE * expected,
             self._start_limit.compute_latest_start(duration),
         )
-        server = await pool.acquire_server(request, excluded, until)
+        try:
+            server = await pool.acquire_server(request, excluded, until)
+        except RefusedError:
+            self._check_access(request)
+            raise
         try:
             # Both may have changed while the request waited.
             self._check_start(request)
@@ -331,9 +349,16 @@
         """Raise `RefusedError` if a request must not be sent now."""
         if not self._start_limit.allows(self._compute_stop_duration(request)):
             raise RefusedError(RefusalReason.STOPPING)
+        self._check_access(request)
         if self.end_records.is_blocked(request):
             raise RefusedError(RefusalReason.FATAL_REQUEST)
 
+    def _check_access(self, request):
+        """Raise `RefusedError` if the accounts in force do not let a request run."""
+        refusal = self.find_access_refusal(request)
+        if refusal is not None:
+            raise RefusedError(refusal)
+
     async def _attempt(self, pool, server, request, attempt_summaries):
         started_at = trio.current_time()
         self.on_load_changed(server)
@@ -350,6 +375,7 @@
                 self.protocol,
                 self.max_answer_bytes,
                 self.answer_memory,
+                self.find_access_refusal,
             )
             apply_announcements(self, server, attempt)
         finally:
--- a/kumquatsaddle/balance/pool.py
+++ b/kumquatsaddle/balance/pool.py
@@ -203,11 +203,18 @@
         if self._waiters:
             self._refuse_limited()
 
-    def refuse_waiting(self):
-        """Let the waiting requests go without a server."""
-        for waiter in self._waiters:
-            waiter.event.set()
-        self._waiters.clear()
+    def refuse_waiting(self, is_refused=lambda request: True):
+        """Let the waiting requests go without a server.
+
+        Parameters
+        ----------
+        is_refused : callable, optional
+            Returns whether a `RoutedRequest` is let go; default: all are.
+        """
+        for waiter in list(self._waiters):
+            if is_refused(waiter.request):
+                self._waiters.remove(waiter)
+                waiter.event.set()
 
     def compute_pause(self, excluded=frozenset()):
         """Return the time until the first paused server may be used, in seconds.
--- a/kumquatsaddle/balance/requests.py
+++ b/kumquatsaddle/balance/requests.py
@@ -5,7 +5,7 @@
 from kumquatsaddle.accounts import ClientAccount
 from kumquatsaddle.balance.fatal_requests import compute_digest
 from kumquatsaddle.routes.table import PublishedRoute
-from kumquatsaddle.types import RequestDigest, ServiceName
+from kumquatsaddle.types import KeyDigest, RequestDigest, ServiceName
 
 __all__ = ["RoutedRequest"]
 
@@ -35,6 +35,8 @@
         Expected size of the bodies of the request and its answer together.
     account : ClientAccount or None
         Of the caller; None on a public route and where there are no accounts.
+    key_digest : KeyDigest or None
+        Of the API key; None without an account.
     """
 
     request_id: bytes
@@ -49,6 +51,7 @@
     attempts_left: int = 1
     kilobytes: float = 0.0
     account: ClientAccount | None = None
+    key_digest: KeyDigest | None = None
     _digest: RequestDigest | None = None
 
     @property
--- a/kumquatsaddle/clocks.py
+++ b/kumquatsaddle/clocks.py
@@ -1,8 +1,14 @@
-"""A clock that ignores adjustments of the system time."""
+"""Clocks that ignore adjustments of the system time."""
 
 import time
 
-__all__ = ["make_steady_clock"]
+import trio
+
+__all__ = ["make_steady_clock", "read_elapsed_time", "read_suspended_seconds"]
+
+# Counts the time in which the machine is suspended, unlike the monotonic clock. Other
+# systems than Linux do not have it; there the two count as the same.
+_BOOT_CLOCK = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
 
 
 def make_steady_clock():
@@ -18,3 +24,20 @@
     """
     offset = time.time() - time.monotonic()
     return lambda: offset + time.monotonic()
+
+
+def read_suspended_seconds():
+    """Return for how long the machine has been suspended, in seconds.
+
+    Only differences between two calls have a meaning.
+    """
+    return time.clock_gettime(_BOOT_CLOCK) - time.monotonic()
+
+
+def read_elapsed_time():
+    """Return the clock of trio with the time added in which the machine was suspended.
+
+    An age that is computed from it does not look young after a suspension, in which the
+    clock of trio stands still.
+    """
+    return trio.current_time() + read_suspended_seconds()
--- a/kumquatsaddle/discovery/follower.py
+++ b/kumquatsaddle/discovery/follower.py
@@ -8,6 +8,8 @@
 
 import trio
 
+from kumquatsaddle.clocks import read_suspended_seconds
+from kumquatsaddle.discovery.contact import StoreContact
 from kumquatsaddle.discovery.servers import ListedRow, ServerDirectory
 from kumquatsaddle.discovery.store import RouteRow
 from kumquatsaddle.exceptions import (
@@ -54,6 +56,8 @@
         self.apply_changes = apply_changes
         self.version = None
         self.read_at = float("-inf")
+        # When it was read, the time in which the machine was suspended.
+        self.suspended_seconds = 0.0
         self.confirm_until = float("-inf")
         self.watching = False
 
@@ -80,6 +84,7 @@
         The row of the store from which they were read.
     exchange : ZoneExchange or None
         Fetches from peers; set by the owner of the follower.
+    contact : StoreContact
     """
 
     def __init__(self, store, peers, on_servers, on_routes, clock=trio.current_time):
@@ -87,6 +92,7 @@
         self.routes = None
         self.routes_row = None
         self.exchange = None
+        self.contact = StoreContact()
         self._store = store
         self._peers = peers
         self._on_servers = on_servers
@@ -120,18 +126,32 @@
 
     def get_read_age(self):
         """Return how long ago this instance last read both tables, in seconds."""
-        return self._clock() - min(table.read_at for table in self._tables)
+        now, suspended = self._clock(), read_suspended_seconds()
+        return max(
+            now - table.read_at + suspended - table.suspended_seconds
+            for table in self._tables
+        )
 
     def fetch_if_newer(self, peer):
         """Trigger a fetch if the report of a peer shows newer versions."""
-        self.record_peer_answer(peer.report.read_age)
+        self.record_peer_answer(peer.report.read_age, peer.report.routes_version)
         if self._has_newer_versions(peer.report):
             self._fetch_needed.set()
 
-    def record_peer_answer(self, age):
-        """Record how long ago the store answered another instance, in seconds."""
+    def record_peer_answer(self, age, routes_version):
+        """Record how long ago the store answered another instance, in seconds.
+
+        Parameters
+        ----------
+        age : float
+        routes_version : int
+            Store version of the routes that the other instance has.
+        """
         now = self._clock()
         self.servers.outages.record_peer_answer(now - age, now)
+        self.contact.record_peer_answer(
+            age, routes_version, self._get_known_routes_version()
+        )
 
     def make_update(self, fetch):
         """Return the `Update` that answers a `Fetch` of a peer."""
@@ -191,7 +211,7 @@
                     await trio.sleep(_MIN_RETRY_DELAY_SECONDS)
                     continue
                 retry_delay = _MIN_RETRY_DELAY_SECONDS
-                self._record_store_success(table)
+                self._record_store_success(table, started)
                 await trio.sleep(
                     max(0.0, started + _MIN_CALL_INTERVAL_SECONDS - self._clock())
                 )
@@ -248,8 +268,11 @@
             self._store_available = False
             log_event("store_lost", level="WARNING", table=table.name, error=error)
 
-    def _record_store_success(self, table):
+    def _record_store_success(self, table, started):
         table.read_at = self._clock()
+        table.suspended_seconds = read_suspended_seconds()
+        if table.name == "routes":
+            self.contact.record_own_answer(table.read_at - started)
         if not self._store_available:
             self._store_available = True
             log_event("store_regained", table=table.name, version=table.version)
@@ -309,8 +332,10 @@
         return self._has_newer_routes(report)
 
     def _has_newer_routes(self, report):
-        known = self.routes_row.version if self.routes_row is not None else 0
-        return report.routes_version > known
+        return report.routes_version > self._get_known_routes_version()
+
+    def _get_known_routes_version(self):
+        return self.routes_row.version if self.routes_row is not None else 0
 
     async def _read_routes(self):
         """Read the routes from the store once, without watching it."""
@@ -342,7 +367,7 @@
 
     async def _fetch(self, address, wants_instances=False):
         """Fetch and apply what an instance knows; return whether it answered."""
-        known = self.routes_row.version if self.routes_row is not None else 0
+        known = self._get_known_routes_version()
         after = self.servers.content_version
         try:
             update = await self.exchange.fetch(
--- a/kumquatsaddle/entry/authentication.py
+++ b/kumquatsaddle/entry/authentication.py
@@ -1,16 +1,38 @@
 """Authentication of callers by API keys (bearer tokens, RFC 6750)."""
 
+from kumquatsaddle.accounts import compute_key_digest
 from kumquatsaddle.exceptions import RefusedError
-from kumquatsaddle.types import RefusalReason
+from kumquatsaddle.types import KeyProblem, RefusalReason
 
-__all__ = ["AUTHORIZATION_HEADER", "authenticate", "read_api_key"]
+__all__ = [
+    "AUTHORIZATION_HEADER",
+    "CHALLENGE",
+    "KeyRefusedError",
+    "authenticate",
+    "read_api_key",
+]
 
 AUTHORIZATION_HEADER = b"authorization"
+# Header of each response with status 401 (RFC 9110, section 11.6.1).
+CHALLENGE = (b"WWW-Authenticate", b"Bearer")
 _SCHEME = b"bearer"
 
 
+class KeyRefusedError(RefusedError):
+    """The API key of a request is not accepted.
+
+    Parameters
+    ----------
+    problem : KeyProblem
+    """
+
+    def __init__(self, problem):
+        self.problem = problem
+        super().__init__(RefusalReason.UNAUTHORIZED, problem.value)
+
+
 def authenticate(headers, accounts):
-    """Return the account of a request and its API key.
+    """Return the account of a request and the digest of its API key.
 
     Parameters
     ----------
@@ -21,33 +43,41 @@
     Returns
     -------
     account : ClientAccount
-    key : bytes
+    digest : KeyDigest
 
     Raises
     ------
-    RefusedError
+    KeyRefusedError
         If the key is missing, malformed, given several times or unknown.
     """
-    key = read_api_key(headers)
-    account = accounts.find_by_key(key) if key is not None else None
+    digest = compute_key_digest(read_api_key(headers))
+    account = accounts.find_by_digest(digest)
     if account is None:
-        raise RefusedError(RefusalReason.UNAUTHORIZED)
-    return account, key
+        raise KeyRefusedError(KeyProblem.UNKNOWN)
+    return account, digest
 
 
 def read_api_key(headers):
-    """Return the API key of a request, or None without exactly one.
+    """Return the API key of a request.
 
     Parameters
     ----------
     headers : iterable of (bytes, bytes)
         Names in lower case.
+
+    Raises
+    ------
+    KeyRefusedError
+        If the key is missing, malformed or given several times. The error does not
+        contain it.
     """
     values = [bytes(value) for name, value in headers if name == AUTHORIZATION_HEADER]
-    if len(values) != 1:
-        return None
+    if not values:
+        raise KeyRefusedError(KeyProblem.MISSING)
+    if len(values) > 1:
+        raise KeyRefusedError(KeyProblem.SEVERAL)
     scheme, _, key = values[0].partition(b" ")
     key = key.strip(b" ")
     if scheme.lower() != _SCHEME or not key or b" " in key:
-        return None
+        raise KeyRefusedError(KeyProblem.MALFORMED)
     return key
--- a/kumquatsaddle/entry/routed.py
+++ b/kumquatsaddle/entry/routed.py
@@ -10,11 +10,16 @@
 
 from kumquatsaddle.balance.requests import RoutedRequest
 from kumquatsaddle.dispatch.answers import HOP_BY_HOP_HEADERS
-from kumquatsaddle.entry.authentication import AUTHORIZATION_HEADER, authenticate
+from kumquatsaddle.entry.authentication import (
+    AUTHORIZATION_HEADER,
+    CHALLENGE,
+    KeyRefusedError,
+    authenticate,
+)
 from kumquatsaddle.exceptions import RefusedError
 from kumquatsaddle.exchange import Answer
 from kumquatsaddle.logs import log_event
-from kumquatsaddle.types import Outcome, RefusalReason
+from kumquatsaddle.types import KeyProblem, Outcome, RefusalReason
 
 __all__ = ["CallerProtocol", "RoutedProxy", "make_routed_proxy"]
 
@@ -28,6 +33,7 @@
 # Retry-After of a refusal that names no time itself, by its reason.
 _RETRY_AFTER_SECONDS = {
     RefusalReason.NOT_READY: 1.0,
+    RefusalReason.KEYS_STALE: 1.0,
     RefusalReason.STOPPING: 0.1,
     RefusalReason.NO_BACKEND: 0.5,
     RefusalReason.BACKEND_SHED: 0.3,
@@ -68,6 +74,7 @@
     get_arrival_delay : callable
         Returns how long ago a request that is read now may have arrived, in seconds.
     metrics : Metrics
+    access : AccountAccess
     """
 
     def __init__(
@@ -78,6 +85,7 @@
         choose_service,
         get_arrival_delay,
         metrics,
+        access,
     ):
         self._protocol = protocol
         self._dispatcher = dispatcher
@@ -85,6 +93,7 @@
         self._choose_service = choose_service
         self._get_arrival_delay = get_arrival_delay
         self._metrics = metrics
+        self._access = access
 
     async def answer(self, caller_request):
         """Return the answer to a request of a caller.
@@ -138,13 +147,16 @@
         route = _match_route(table, caller_request)
         if route is None:
             return self._refuse(request_id, RefusalReason.UNKNOWN_ROUTE, table.version)
-        headers, account = _select_end_to_end_headers(caller_request.headers), None
+        headers = _select_end_to_end_headers(caller_request.headers)
+        account = key_digest = None
         if table.accounts is not None:
             if not route.public:
                 try:
-                    account, _ = authenticate(caller_request.headers, table.accounts)
+                    account, key_digest = self._authenticate(caller_request, table)
                 except RefusedError as error:
-                    return self._refuse(request_id, error.reason, table.version)
+                    return self._refuse(
+                        request_id, error.reason, table.version, error.detail
+                    )
             headers = self._remove_account_headers(headers)
         timeout = self._read_timeout(caller_request.headers)
         request = RoutedRequest(
@@ -158,16 +170,35 @@
             arrived=arrived,
             deadline=arrived + min(timeout - _DEADLINE_MARGIN_SECONDS, route.timeout),
             account=account,
+            key_digest=key_digest,
         )
         answer = await self._dispatcher.dispatch(request)
+        if answer.reason is RefusalReason.UNAUTHORIZED:
+            self._access.count_problem(KeyProblem.REVOKED)
         self._metrics.observe_latency(request.rank, trio.current_time() - arrived)
         return answer
 
-    def _refuse(self, request_id, reason, version=""):
+    def _authenticate(self, caller_request, table):
+        """Return the account of a request and the digest of its API key.
+
+        Raises
+        ------
+        RefusedError
+            If the key is not accepted, or if the keys known here are too old.
+        """
+        self._access.check_age()
+        try:
+            return authenticate(caller_request.headers, table.accounts)
+        except KeyRefusedError as error:
+            self._access.count_problem(error.problem)
+            raise
+
+    def _refuse(self, request_id, reason, version="", detail=""):
         log_event(
             "request_refused",
             id=request_id.decode("latin-1"),
             reason=reason.value,
+            detail=detail,
             version=version,
         )
         return Answer.from_reason(reason)
@@ -188,6 +219,8 @@
         headers = list(answer.headers)
         if request_id:
             headers.append((self._protocol.request_id, request_id))
+        if answer.reason is RefusalReason.UNAUTHORIZED:
+            headers.append(CHALLENGE)
         seconds = answer.retry_after
         if answer.outcome is Outcome.NOT_RUN and seconds is None:
             seconds = _RETRY_AFTER_SECONDS.get(answer.reason)
@@ -195,11 +228,23 @@
 
 
 def make_routed_proxy(
-    protocol, dispatcher, get_routes, choose_service, get_arrival_delay, metrics
+    protocol,
+    dispatcher,
+    get_routes,
+    choose_service,
+    get_arrival_delay,
+    metrics,
+    access,
 ):
     """Return a proxy for the published routes; see `RoutedProxy`."""
     return RoutedProxy(
-        protocol, dispatcher, get_routes, choose_service, get_arrival_delay, metrics
+        protocol,
+        dispatcher,
+        get_routes,
+        choose_service,
+        get_arrival_delay,
+        metrics,
+        access,
     )
 
 
--- a/kumquatsaddle/lifecycle/pauses.py
+++ b/kumquatsaddle/lifecycle/pauses.py
@@ -8,6 +8,8 @@
 
 import trio
 
+from kumquatsaddle.clocks import read_elapsed_time
+
 __all__ = ["PauseDetector", "make_pause_detector"]
 
 # Default interval between two ticks, and the shortest gap between ticks that counts as
@@ -29,7 +31,7 @@
         Time in seconds between two ticks. Gaps of at least three ticks are pauses.
     """
 
-    def __init__(self, clock=trio.current_time, tick_seconds=_TICK_SECONDS):
+    def __init__(self, clock=read_elapsed_time, tick_seconds=_TICK_SECONDS):
         self._clock = clock
         self._interval = tick_seconds
         self._min_pause = _MIN_PAUSE_SECONDS / _TICK_SECONDS * tick_seconds
@@ -64,5 +66,10 @@
 
 
 def make_pause_detector(tick_seconds=_TICK_SECONDS):
-    """Return a pause detector that uses the clock of trio; see `PauseDetector`."""
-    return PauseDetector(tick_seconds=tick_seconds)
+    """Return a pause detector that also detects suspensions of the machine.
+
+    See Also
+    --------
+    PauseDetector
+    """
+    return PauseDetector(read_elapsed_time, tick_seconds)
--- a/kumquatsaddle/lifecycle/routed_node.py
+++ b/kumquatsaddle/lifecycle/routed_node.py
@@ -11,6 +11,7 @@
 
 import trio
 
+from kumquatsaddle.accounts.access import make_account_access, read_revoke_after
 from kumquatsaddle.balance.dispatcher import make_balanced_dispatcher
 from kumquatsaddle.discovery.follower import make_follower
 from kumquatsaddle.discovery.records import InstanceRecord
@@ -130,11 +131,19 @@
             self.peers, self.dispatcher, self, self.metrics
         )
         self.follower.exchange = self.exchange
+        self.access = make_account_access(
+            lambda: self.follower.routes,
+            self.follower.contact.get_age,
+            self.metrics,
+            read_revoke_after(settings),
+        )
+        self.dispatcher.find_access_refusal = self.access.find_refusal
         self.capacity = _compute_capacity(settings)
         self._parts = parts
         self._store = parts.store
         self._service_selector = WeightedRoundRobin()
         self._pause_detector = make_pause_detector(_PAUSE_TICK_SECONDS)
+        self.follower.contact.get_arrival_delay = self._pause_detector.get_arrival_delay
         self._caller_config = _CallerServerConfig(settings, self.metrics)
         self._leaving = False
         self.callers = None
@@ -164,9 +173,9 @@
         """Return the age of the last known state of the store, in seconds."""
         return self.follower.get_read_age()
 
-    def record_peer_answer(self, age):
+    def record_peer_answer(self, age, routes_version):
         """Record how long ago the store answered another instance, in seconds."""
-        self.follower.record_peer_answer(age)
+        self.follower.record_peer_answer(age, routes_version)
 
     def make_update(self, fetch):
         """Return the update that answers the fetch of a peer."""
@@ -185,6 +194,7 @@
             self._service_selector.choose_service,
             self._pause_detector.get_arrival_delay,
             self.metrics,
+            self.access,
         )
         nursery.start_soon(self._pause_detector.run)
         await start_server(nursery, self._run_exchange, self.settings, "control")
@@ -226,6 +236,7 @@
         retry_limits.allowance = self.settings.get("repeats", "allowance")
         retry_limits.window = self.settings.get("repeats", "window")
         apply_answer_limits(self.dispatcher, self.settings)
+        self.access.revoke_after = read_revoke_after(self.settings)
         if ("log", "level") in changed:
             set_log_level(changed["log", "level"])
         for (section, key), value in changed.items():
@@ -254,6 +265,7 @@
         self._service_selector.retain_routes(names)
         if routes.limits is not None:
             self._caller_config.apply_limits(routes.limits)
+        self.dispatcher.refuse_revoked()
 
     async def _register(self):
         """Register this instance in the store and list the others."""
--- a/kumquatsaddle/settings/fields.py
+++ b/kumquatsaddle/settings/fields.py
@@ -328,6 +328,25 @@
         live=True,
         doc="Time in which repeats are counted.",
     ),
+    Field(
+        "accounts",
+        "revoke_when_partitioned",
+        "boolean",
+        False,
+        live=True,
+        doc="Whether an instance without contact to the store refuses API keys (503).",
+    ),
+    Field(
+        "accounts",
+        "revoke_after",
+        "number",
+        5.0,
+        0.1,
+        86400.0,
+        "s",
+        live=True,
+        doc="Time without contact to the store after which it does.",
+    ),
     Field(
         "stop", "notice", "number", 3.0, 0.0, 60.0, "s", doc="Listening after SIGTERM."
     ),
--- a/kumquatsaddle/settings/parsers.py
+++ b/kumquatsaddle/settings/parsers.py
@@ -17,6 +17,8 @@
 _NUMBER_PATTERN = re.compile(
     r"[+-]?(?:[0-9]+\.?[0-9]*|\.[0-9]+)(?:[eE][+-]?[0-9]{1,3})?\Z"
 )
+_BOOLEANS = {"true": True, "false": False}
+_MILLISECONDS = "ms"
 _MAX_PORT_DIGITS = 5
 _MAX_PORT = 65535
 
@@ -111,10 +113,20 @@
 
 @parsers.register("number")
 def _parse_number(field, text):
-    number = _strip_unit(field, text)
+    number, scale = _strip_unit(field, text), 1
+    if field.unit == "s" and text.strip().endswith(_MILLISECONDS):
+        number, scale = text.strip().removesuffix(_MILLISECONDS).rstrip(), 1000
     if not _NUMBER_PATTERN.match(number) or not math.isfinite(float(number)):
         raise ValueError(f"{text!r} is not a finite number")
-    return float(number)
+    return float(number) / scale
+
+
+@parsers.register("boolean")
+def _parse_boolean(field, text):
+    value = _BOOLEANS.get(text.strip().lower())
+    if value is None:
+        raise ValueError(f"{text!r} is not true or false")
+    return value
 
 
 @parsers.register("choice")
--- a/kumquatsaddle/settings/tests/settings.feature
+++ b/kumquatsaddle/settings/tests/settings.feature
@@ -22,6 +22,9 @@
       | limits  | body_bytes = 1_000      | is not a whole number             |
       | limits  | head_timeout = nan      | is not a finite number            |
       | listen  | max_connections = 0     | outside 1 to 100000 connections   |
+      | accounts | revoke_when_partitioned = maybe | is not true or false     |
+      | accounts | revoke_after = 5000 m  | is not a finite number            |
+      | accounts | revoke_after = 50 ms   | outside 0.1 to 86400.0 s          |
       | log     | level = LOUD            | is not one of TRACE, DEBUG        |
       | limit   | x = 1                   | did you mean 'limits'?            |
       | DEFAULT | x = 1                   | unknown section                   |
--- a/kumquatsaddle/sharing/exchange.py
+++ b/kumquatsaddle/sharing/exchange.py
@@ -336,7 +336,7 @@
         now = trio.current_time()
         if report.summary:
             if self._summaries.handle(report, data, host, now):
-                self._node.record_peer_answer(report.read_age)
+                self._node.record_peer_answer(report.read_age, report.routes_version)
             return
         peer = self.peers.accept_report(report, now)
         if peer is None:
--- a/kumquatsaddle/testing/exchanges.py
+++ b/kumquatsaddle/testing/exchanges.py
@@ -34,7 +34,7 @@
         """Return the time since the store was read, in seconds."""
         return 60.0
 
-    def record_peer_answer(self, age):
+    def record_peer_answer(self, age, routes_version):
         """Record nothing."""
 
     def fetch_if_newer(self, peer):
--- a/kumquatsaddle/types.py
+++ b/kumquatsaddle/types.py
@@ -18,12 +18,14 @@
     "ServiceName",
     "TemplateName",
     "AccountId",
+    "KeyDigest",
     "OperationId",
     "RequestDigest",
     "ConfigVersion",
     "Rank",
     "Outcome",
     "RefusalReason",
+    "KeyProblem",
     "RetryReason",
     "ConfigurationRetry",
     "OperatorRefusal",
@@ -81,6 +83,8 @@
     TOO_MANY_CONNECTIONS = "too_many_connections"
     BODIES_TOO_LARGE = "bodies_too_large"
     UNAUTHORIZED = "unauthorized"
+    # The API keys known here may be out of date.
+    KEYS_STALE = "keys_stale"
     UNKNOWN_ACCOUNT = "unknown_account"
     UNKNOWN_ROUTE = "unknown_route"
     INVALID_OPERATION_ID = "invalid_operation_id"
@@ -116,6 +120,18 @@
     ANSWER_FORGOTTEN = "answer_forgotten"
 
 
+class KeyProblem(Enum):
+    """Why the API key of a request was not accepted."""
+
+    MISSING = "missing"
+    # More than one header with a key.
+    SEVERAL = "several"
+    MALFORMED = "malformed"
+    UNKNOWN = "unknown"
+    # Revoked after the request was accepted and before it was sent.
+    REVOKED = "revoked"
+
+
 class RetryReason(Enum):
     """Why a request was sent again to another backend server or instance."""
 
--- a/tools/write_settings_page.py
+++ b/tools/write_settings_page.py
@@ -30,7 +30,8 @@
 at once, and if any other key has changed, nothing is applied and the log says so
 (`event=reload_refused`). The certificate files are read again as well.
 
-Numbers may carry their unit (`poll_interval = 10 s`). Lists are separated by commas or
+Numbers may carry their unit (`poll_interval = 10 s`); those in seconds may be given in
+milliseconds instead (`revoke_after = 5000 ms`). Lists are separated by commas or
 white space.
 """
 
@@ -87,6 +88,8 @@
         return "required"
     if field.default in ("", ()):
         return "none"
+    if isinstance(field.default, bool):
+        return str(field.default).lower()
     return f"{field.default:.10g}" if field.unit else str(field.default)
 
 
