Tell on all pages that an instance has no routes or refused newer ones

Cause: an instance that refused a version logged it once, and nothing else told it from one that waits for the store. An entry of the store that is not base64 was logged at INFO only. Change: the routes of an instance are kept by discovery/routes.py, with the newest row that was refused and why. The readiness page, the operators' page /api/v1/status, the command `kumquatsaddle-ctl status`, the gauges routes_row and routes_refused_row and the log (routes_missing, routes_refused once for a row) tell it. Readiness stays 200 while the version before is in force.

--- a/kumquatsaddle/commands/ctl.py
+++ b/kumquatsaddle/commands/ctl.py
@@ -12,6 +12,7 @@
   kumquatsaddle-ctl versions [options]
   kumquatsaddle-ctl (drain|undrain) BACKEND [--reason=TEXT] [options]
   kumquatsaddle-ctl explain ACCOUNT METHOD PATH [options]
+  kumquatsaddle-ctl status [options]
   kumquatsaddle-ctl fatal-requests [options]
   kumquatsaddle-ctl unblock DIGEST [options]
   kumquatsaddle-ctl prune --settings=FILE [options]
@@ -24,9 +25,10 @@
 objects with kind, name and value, and no instance is contacted. withdraw prevents an
 edit with an unknown result from taking effect later; it needs --change-id. prune
 deletes claims on idempotency keys older than 24 hours from the platform's table.
-fatal-requests lists the contents of requests that are blocked because backend servers
-ended under them, and unblock lets one be sent again; both ask instances that serve
-published routes.
+status shows whether an instance is ready, which routes are in force, and why it has
+none or has refused newer ones. fatal-requests lists the contents of requests that are
+blocked because backend servers ended under them, and unblock lets one be sent again.
+These three ask instances that serve published routes.
 
 Options:
   --node=ADDRESSES   Operators' addresses host:port, tried in order
@@ -210,6 +212,11 @@
     return _send_idempotent(options, "GET", f"explain?{query}")
 
 
+@commands.register("status")
+def _show_status(options):
+    return _send_idempotent(options, "GET", "status")
+
+
 @commands.register("fatal-requests")
 def _list_fatal_requests(options):
     return _send_idempotent(options, "GET", "fatal-requests")
--- a/kumquatsaddle/discovery/follower.py
+++ b/kumquatsaddle/discovery/follower.py
@@ -10,6 +10,7 @@
 
 from kumquatsaddle.clocks import read_suspended_seconds
 from kumquatsaddle.discovery.contact import StoreContact
+from kumquatsaddle.discovery.routes import RouteDirectory
 from kumquatsaddle.discovery.servers import ListedRow, ServerDirectory
 from kumquatsaddle.discovery.store import RouteRow
 from kumquatsaddle.exceptions import (
@@ -78,10 +79,7 @@
     Attributes
     ----------
     servers : ServerDirectory
-    routes : RouteTable or None
-        The routes in force.
-    routes_row : RouteRow or None
-        The row of the store from which they were read.
+    route_directory : RouteDirectory
     exchange : ZoneExchange or None
         Fetches from peers; set by the owner of the follower.
     contact : StoreContact
@@ -89,8 +87,7 @@
 
     def __init__(self, store, peers, on_servers, on_routes, clock=trio.current_time):
         self.servers = ServerDirectory()
-        self.routes = None
-        self.routes_row = None
+        self.route_directory = RouteDirectory(store)
         self.exchange = None
         self.contact = StoreContact()
         self._store = store
@@ -120,6 +117,16 @@
             ),
         )
 
+    @property
+    def routes(self):
+        """The `RouteTable` in force, or None."""
+        return self.route_directory.table
+
+    @property
+    def routes_row(self):
+        """The `RouteRow` of the routes in force, or None."""
+        return self.route_directory.row
+
     def is_ready(self):
         """Return whether the routes and the list of servers are known."""
         return self.routes is not None and self.servers.version > 0
@@ -141,16 +148,12 @@
     def record_peer_answer(self, age, routes_version):
         """Record how long ago the store answered another instance, in seconds.
 
-        Parameters
-        ----------
-        age : float
-        routes_version : int
-            Store version of the routes that the other instance has.
+        `routes_version` is the store version of the routes that it has.
         """
         now = self._clock()
         self.servers.outages.record_peer_answer(now - age, now)
         self.contact.record_peer_answer(
-            age, routes_version, self._get_known_routes_version()
+            age, routes_version, self.route_directory.known_version
         )
 
     def make_update(self, fetch):
@@ -299,32 +302,14 @@
         known = self.routes_row
         for row in snapshot.rows:
             self._apply_route_row(row)
+        if not snapshot.rows:
+            self.route_directory.record_absence()
         if self.routes_row is not known:
             self._report_to_peers()
 
     def _apply_route_row(self, row, from_peer=False):
-        known = self.routes_row
-        if known is not None and row.version <= known.version:
-            return
-        try:
-            routes = self._store.parse_routes(row.text)
-        except ConfigurationError as error:
-            log_event("routes_refused", level="ERROR", version=row.version, error=error)
-            return
-        if self.routes is not None and routes.version <= self.routes.version:
-            log_event(
-                "routes_refused",
-                level="ERROR",
-                version=row.version,
-                error=f"{routes.version} is not a newer version than "
-                f"{self.routes.version}",
-            )
-            return
-        if routes.accounts is not None and not from_peer:
-            row = RouteRow(row.version, self._store.hide_keys(row.text))
-        self.routes, self.routes_row = routes, row
-        log_event("routes_in_force", version=routes.version, row=row.version)
-        self._on_routes(routes)
+        if self.route_directory.apply(row, from_peer):
+            self._on_routes(self.routes)
 
     def _has_newer_versions(self, report):
         if report.servers_version > self.servers.content_version:
@@ -332,10 +317,7 @@
         return self._has_newer_routes(report)
 
     def _has_newer_routes(self, report):
-        return report.routes_version > self._get_known_routes_version()
-
-    def _get_known_routes_version(self):
-        return self.routes_row.version if self.routes_row is not None else 0
+        return report.routes_version > self.route_directory.known_version
 
     async def _read_routes(self):
         """Read the routes from the store once, without watching it."""
@@ -367,7 +349,7 @@
 
     async def _fetch(self, address, wants_instances=False):
         """Fetch and apply what an instance knows; return whether it answered."""
-        known = self._get_known_routes_version()
+        known = self.route_directory.known_version
         after = self.servers.content_version
         try:
             update = await self.exchange.fetch(
--- a/kumquatsaddle/discovery/store.py
+++ b/kumquatsaddle/discovery/store.py
@@ -35,10 +35,13 @@
     text : bytes
         Routes in the encoding of the platform; see `DiscoveryStore.parse_routes`. Of
         the routes in force, as `DiscoveryStore.hide_keys` returns them.
+    error : str, optional
+        Why there is no text, if the entry of the store cannot be read.
     """
 
     version: int
     text: bytes
+    error: str = ""
 
 
 class DiscoveryStore(Protocol):
--- a/kumquatsaddle/entry/operator_pages.py
+++ b/kumquatsaddle/entry/operator_pages.py
@@ -1,20 +1,29 @@
 """Operators' API of an instance that serves published routes.
 
-It lists the requests that are blocked because backend servers ended under them, and
-lets operators unblock one. Changes need the token of the settings.
+It tells whether the instance is ready and which routes are in force. It lists the
+requests that are blocked because backend servers ended under them, and lets operators
+unblock one. Changes need the token of the settings.
 """
 
 import hmac
 import json
+from dataclasses import asdict
 
 from kumquatsaddle.exchange import Answer
 from kumquatsaddle.logs import log_event
 from kumquatsaddle.settings.files import read_secret
 from kumquatsaddle.types import OperatorRefusal, Outcome, RequestDigest
 
-__all__ = ["FatalRequestsPage", "PageSwitch", "make_fatal_requests_page"]
+__all__ = [
+    "FatalRequestsPage",
+    "PageSwitch",
+    "StatusPage",
+    "make_fatal_requests_page",
+    "make_status_page",
+]
 
 _PATH = "/api/v1/fatal-requests"
+_STATUS_PATH = "/api/v1/status"
 _BEARER = b"Bearer "
 _DIGEST_BASE = 16
 _JSON_HEADERS = ((b"Content-Type", b"application/json"),)
@@ -80,6 +89,30 @@
         return OperatorRefusal.UNAUTHORIZED
 
 
+class StatusPage:
+    """Tells whether the instance is ready, which routes are in force, and why not.
+
+    Parameters
+    ----------
+    describe_status : callable
+        Returns the `InstanceStatus`.
+    """
+
+    def __init__(self, describe_status):
+        self._describe_status = describe_status
+
+    def allows_overlap(self, caller_request):
+        """Return True: no request changes what another one of its connection reads."""
+        return True
+
+    async def answer(self, caller_request):
+        """Return the answer to ``GET``."""
+        path = caller_request.target.partition("?")[0]
+        if caller_request.method != "GET" or path != _STATUS_PATH:
+            return _reply(404, {"error": f"no {caller_request.method} {path}"})
+        return _reply(200, asdict(self._describe_status()))
+
+
 class PageSwitch:
     """Serves several pages at one address: the first one that knows a path answers.
 
@@ -105,6 +138,11 @@
         return answer
 
 
+def make_status_page(describe_status):
+    """Return the page; see `StatusPage`."""
+    return StatusPage(describe_status)
+
+
 def make_fatal_requests_page(records, settings):
     """Return the page with the token of the settings; see `FatalRequestsPage`."""
     token_file = settings.get("secrets", "operator_token_file")
--- a/kumquatsaddle/lifecycle/routed_node.py
+++ b/kumquatsaddle/lifecycle/routed_node.py
@@ -17,13 +17,18 @@
 from kumquatsaddle.discovery.records import InstanceRecord
 from kumquatsaddle.dispatch.protocol import BackendProtocol
 from kumquatsaddle.entry.callers import make_caller_server
-from kumquatsaddle.entry.operator_pages import PageSwitch, make_fatal_requests_page
+from kumquatsaddle.entry.operator_pages import (
+    PageSwitch,
+    make_fatal_requests_page,
+    make_status_page,
+)
 from kumquatsaddle.entry.routed import CallerProtocol, make_routed_proxy
 from kumquatsaddle.exceptions import PlatformUnavailableError, SettingsError
 from kumquatsaddle.lifecycle.answers import apply_answer_limits
 from kumquatsaddle.lifecycle.application import make_application
 from kumquatsaddle.lifecycle.pauses import make_pause_detector
 from kumquatsaddle.lifecycle.servers import start_server
+from kumquatsaddle.lifecycle.status import make_instance_status
 from kumquatsaddle.lifecycle.stopping import read_stop_times, stop_starting_in_time
 from kumquatsaddle.logs import log_event, set_log_level
 from kumquatsaddle.metrics import make_metrics
@@ -139,6 +144,8 @@
         )
         self.dispatcher.find_access_refusal = self.access.find_refusal
         self.capacity = _compute_capacity(settings)
+        self.follower.route_directory.on_change = self._export_routes_status
+        self._export_routes_status()
         self._parts = parts
         self._store = parts.store
         self._service_selector = WeightedRoundRobin()
@@ -156,14 +163,19 @@
         """Return whether the instance is stopping."""
         return self._leaving
 
+    def describe_status(self):
+        """Return the `InstanceStatus`, for pages."""
+        return make_instance_status(
+            self.follower, self.access, self.is_serving(), self._leaving
+        )
+
     def list_active(self):
         """Return the `InstanceRecord` of the instances for callers of this zone."""
         return self.peers.list_active(self.is_serving(), self.capacity)
 
     def routes_version(self):
         """Return the store version of the routes in force."""
-        row = self.follower.routes_row
-        return row.version if row is not None else 0
+        return self.follower.route_directory.known_version
 
     def servers_version(self):
         """Return the store version of the newest known entry of a backend server."""
@@ -218,10 +230,11 @@
             self.dispatcher.end_records, self.settings
         )
         operators = self.settings.get("listen", "operators")
+        own_pages = [fatal_requests, make_status_page(self.describe_status)]
         for key, page in pages.items():
             if self.settings.get("listen", key) == operators:
-                return pages | {key: PageSwitch([page, fatal_requests])}
-        return pages | {"operators": fatal_requests}
+                return pages | {key: PageSwitch([page, *own_pages])}
+        return pages | {"operators": PageSwitch(own_pages)}
 
     def reload(self):
         """Apply a changed settings file; log an error if it is invalid."""
@@ -259,6 +272,11 @@
     async def _update_servers(self, records):
         await self.dispatcher.update_servers(records)
 
+    def _export_routes_status(self):
+        status = self.follower.route_directory.describe()
+        self.metrics.set_gauge("routes_row", status.row)
+        self.metrics.set_gauge("routes_refused_row", status.refused_row)
+
     def _update_routes(self, routes):
         names = {route.name for route in routes.list_routes()}
         self.dispatcher.averages.retain_routes(names)
