--- a/kumquatsaddle/discovery/follower.py
+++ b/kumquatsaddle/discovery/follower.py
@@ -8,6 +8,9 @@
 
 import trio
 
+from kumquatsaddle.clocks import read_suspended_seconds
+from kumquatsaddle.discovery.contact import StoreContact
+from kumquatsaddle.discovery.routes import RouteDirectory
 from kumquatsaddle.discovery.servers import ListedRow, ServerDirectory
 from kumquatsaddle.discovery.store import RouteRow
 from kumquatsaddle.exceptions import (
@@ -54,6 +57,8 @@
         self.apply_changes = apply_changes
         self.version = None
         self.read_at = float("-inf")
+        # When it was read, the time in which the machine was suspended.
+        self.suspended_seconds = 0.0
         self.confirm_until = float("-inf")
         self.watching = False
 
@@ -74,19 +79,17 @@
     Attributes
     ----------
     servers : ServerDirectory
-    routes : RouteTable or None
-        The routes in force.
-    routes_row : RouteRow or None
-        The row of the store from which they were read.
+    route_directory : RouteDirectory
     exchange : ZoneExchange or None
         Fetches from peers; set by the owner of the follower.
+    contact : StoreContact
     """
 
     def __init__(self, store, peers, on_servers, on_routes, clock=trio.current_time):
         self.servers = ServerDirectory()
-        self.routes = None
-        self.routes_row = None
+        self.route_directory = RouteDirectory(store)
         self.exchange = None
+        self.contact = StoreContact()
         self._store = store
         self._peers = peers
         self._on_servers = on_servers
@@ -114,24 +117,44 @@
             ),
         )
 
+    @property
+    def routes(self):
+        """The `RouteTable` in force, or None."""
+        return self.route_directory.table
+
+    @property
+    def routes_row(self):
+        """The `RouteRow` of the routes in force, or None."""
+        return self.route_directory.row
+
     def is_ready(self):
         """Return whether the routes and the list of servers are known."""
         return self.routes is not None and self.servers.version > 0
 
     def get_read_age(self):
         """Return how long ago this instance last read both tables, in seconds."""
-        return self._clock() - min(table.read_at for table in self._tables)
+        now, suspended = self._clock(), read_suspended_seconds()
+        return max(
+            now - table.read_at + suspended - table.suspended_seconds
+            for table in self._tables
+        )
 
     def fetch_if_newer(self, peer):
         """Trigger a fetch if the report of a peer shows newer versions."""
-        self.record_peer_answer(peer.report.read_age)
+        self.record_peer_answer(peer.report.read_age, peer.report.routes_version)
         if self._has_newer_versions(peer.report):
             self._fetch_needed.set()
 
-    def record_peer_answer(self, age):
-        """Record how long ago the store answered another instance, in seconds."""
+    def record_peer_answer(self, age, routes_version):
+        """Record how long ago the store answered another instance, in seconds.
+
+        `routes_version` is the store version of the routes that it has.
+        """
         now = self._clock()
         self.servers.outages.record_peer_answer(now - age, now)
+        self.contact.record_peer_answer(
+            age, routes_version, self.route_directory.known_version
+        )
 
     def make_update(self, fetch):
         """Return the `Update` that answers a `Fetch` of a peer."""
@@ -191,7 +214,7 @@
                     await trio.sleep(_MIN_RETRY_DELAY_SECONDS)
                     continue
                 retry_delay = _MIN_RETRY_DELAY_SECONDS
-                self._record_store_success(table)
+                self._record_store_success(table, started)
                 await trio.sleep(
                     max(0.0, started + _MIN_CALL_INTERVAL_SECONDS - self._clock())
                 )
@@ -248,8 +271,11 @@
             self._store_available = False
             log_event("store_lost", level="WARNING", table=table.name, error=error)
 
-    def _record_store_success(self, table):
+    def _record_store_success(self, table, started):
         table.read_at = self._clock()
+        table.suspended_seconds = read_suspended_seconds()
+        if table.name == "routes":
+            self.contact.record_own_answer(table.read_at - started)
         if not self._store_available:
             self._store_available = True
             log_event("store_regained", table=table.name, version=table.version)
@@ -276,30 +302,14 @@
         known = self.routes_row
         for row in snapshot.rows:
             self._apply_route_row(row)
+        if not snapshot.rows:
+            self.route_directory.record_absence()
         if self.routes_row is not known:
             self._report_to_peers()
 
-    def _apply_route_row(self, row):
-        known = self.routes_row
-        if known is not None and row.version <= known.version:
-            return
-        try:
-            routes = self._store.parse_routes(row.text)
-        except ConfigurationError as error:
-            log_event("routes_refused", level="ERROR", version=row.version, error=error)
-            return
-        if self.routes is not None and routes.version <= self.routes.version:
-            log_event(
-                "routes_refused",
-                level="ERROR",
-                version=row.version,
-                error=f"{routes.version} is not a newer version than "
-                f"{self.routes.version}",
-            )
-            return
-        self.routes, self.routes_row = routes, row
-        log_event("routes_in_force", version=routes.version, row=row.version)
-        self._on_routes(routes)
+    def _apply_route_row(self, row, from_peer=False):
+        if self.route_directory.apply(row, from_peer):
+            self._on_routes(self.routes)
 
     def _has_newer_versions(self, report):
         if report.servers_version > self.servers.content_version:
@@ -307,8 +317,7 @@
         return self._has_newer_routes(report)
 
     def _has_newer_routes(self, report):
-        known = self.routes_row.version if self.routes_row is not None else 0
-        return report.routes_version > known
+        return report.routes_version > self.route_directory.known_version
 
     async def _read_routes(self):
         """Read the routes from the store once, without watching it."""
@@ -340,7 +349,7 @@
 
     async def _fetch(self, address, wants_instances=False):
         """Fetch and apply what an instance knows; return whether it answered."""
-        known = self.routes_row.version if self.routes_row is not None else 0
+        known = self.route_directory.known_version
         after = self.servers.content_version
         try:
             update = await self.exchange.fetch(
@@ -357,7 +366,9 @@
         for record in update.instances:
             self._peers.add_instance(record, now)
         if update.routes:
-            self._apply_route_row(RouteRow(update.routes_version, update.routes))
+            self._apply_route_row(
+                RouteRow(update.routes_version, update.routes), from_peer=True
+            )
         rows = [self._parse_row(row) for row in update.rows]
         if self.servers.apply_peer_changes(
             rows, update.servers_version, update.complete_version, now
--- a/kumquatsaddle/lifecycle/routed_node.py
+++ b/kumquatsaddle/lifecycle/routed_node.py
@@ -11,18 +11,24 @@
 
 import trio
 
+from kumquatsaddle.accounts.access import make_account_access, read_revoke_after
 from kumquatsaddle.balance.dispatcher import make_balanced_dispatcher
 from kumquatsaddle.discovery.follower import make_follower
 from kumquatsaddle.discovery.records import InstanceRecord
 from kumquatsaddle.dispatch.protocol import BackendProtocol
 from kumquatsaddle.entry.callers import make_caller_server
-from kumquatsaddle.entry.operator_pages import PageSwitch, make_fatal_requests_page
+from kumquatsaddle.entry.operator_pages import (
+    PageSwitch,
+    make_fatal_requests_page,
+    make_status_page,
+)
 from kumquatsaddle.entry.routed import CallerProtocol, make_routed_proxy
 from kumquatsaddle.exceptions import PlatformUnavailableError, SettingsError
 from kumquatsaddle.lifecycle.answers import apply_answer_limits
 from kumquatsaddle.lifecycle.application import make_application
 from kumquatsaddle.lifecycle.pauses import make_pause_detector
 from kumquatsaddle.lifecycle.servers import start_server
+from kumquatsaddle.lifecycle.status import make_instance_status
 from kumquatsaddle.lifecycle.stopping import read_stop_times, stop_starting_in_time
 from kumquatsaddle.logs import log_event, set_log_level
 from kumquatsaddle.metrics import make_metrics
@@ -127,11 +133,21 @@
             self.peers, self.dispatcher, self, self.metrics
         )
         self.follower.exchange = self.exchange
+        self.access = make_account_access(
+            lambda: self.follower.routes,
+            self.follower.contact.get_age,
+            self.metrics,
+            read_revoke_after(settings),
+        )
+        self.dispatcher.find_access_refusal = self.access.find_refusal
         self.capacity = _compute_capacity(settings)
+        self.follower.route_directory.on_change = self._export_routes_status
+        self._export_routes_status()
         self._parts = parts
         self._store = parts.store
         self._service_selector = WeightedRoundRobin()
         self._pause_detector = make_pause_detector(_PAUSE_TICK_SECONDS)
+        self.follower.contact.get_arrival_delay = self._pause_detector.get_arrival_delay
         self._caller_config = _CallerServerConfig(settings, self.metrics)
         self._leaving = False
         self.callers = None
@@ -144,14 +160,19 @@
         """Return whether the instance is stopping."""
         return self._leaving
 
+    def describe_status(self):
+        """Return the `InstanceStatus`, for pages."""
+        return make_instance_status(
+            self.follower, self.access, self.is_serving(), self._leaving
+        )
+
     def list_active(self):
         """Return the `InstanceRecord` of the instances for callers of this zone."""
         return self.peers.list_active(self.is_serving(), self.capacity)
 
     def routes_version(self):
         """Return the store version of the routes in force."""
-        row = self.follower.routes_row
-        return row.version if row is not None else 0
+        return self.follower.route_directory.known_version
 
     def servers_version(self):
         """Return the store version of the newest known entry of a backend server."""
@@ -161,9 +182,9 @@
         """Return the age of the last known state of the store, in seconds."""
         return self.follower.get_read_age()
 
-    def record_peer_answer(self, age):
+    def record_peer_answer(self, age, routes_version):
         """Record how long ago the store answered another instance, in seconds."""
-        self.follower.record_peer_answer(age)
+        self.follower.record_peer_answer(age, routes_version)
 
     def make_update(self, fetch):
         """Return the update that answers the fetch of a peer."""
@@ -182,6 +203,7 @@
             self._service_selector.choose_service,
             self._pause_detector.get_arrival_delay,
             self.metrics,
+            self.access,
         )
         nursery.start_soon(self._pause_detector.run)
         await start_server(nursery, self._run_exchange, self.settings, "control")
@@ -205,10 +227,11 @@
             self.dispatcher.end_records, self.settings
         )
         operators = self.settings.get("listen", "operators")
+        own_pages = [fatal_requests, make_status_page(self.describe_status)]
         for key, page in pages.items():
             if self.settings.get("listen", key) == operators:
-                return pages | {key: PageSwitch([page, fatal_requests])}
-        return pages | {"operators": fatal_requests}
+                return pages | {key: PageSwitch([page, *own_pages])}
+        return pages | {"operators": PageSwitch(own_pages)}
 
     def reload(self):
         """Apply a changed settings file; log an error if it is invalid."""
@@ -223,6 +246,7 @@
         retry_limits.allowance = self.settings.get("repeats", "allowance")
         retry_limits.window = self.settings.get("repeats", "window")
         apply_answer_limits(self.dispatcher, self.settings)
+        self.access.revoke_after = read_revoke_after(self.settings)
         if ("log", "level") in changed:
             set_log_level(changed["log", "level"])
         for (section, key), value in changed.items():
@@ -245,12 +269,18 @@
     async def _update_servers(self, records):
         await self.dispatcher.update_servers(records)
 
+    def _export_routes_status(self):
+        status = self.follower.route_directory.describe()
+        self.metrics.set_gauge("routes_row", status.row)
+        self.metrics.set_gauge("routes_refused_row", status.refused_row)
+
     def _update_routes(self, routes):
         names = {route.name for route in routes.list_routes()}
         self.dispatcher.averages.retain_routes(names)
         self._service_selector.retain_routes(names)
         if routes.limits is not None:
             self._caller_config.apply_limits(routes.limits)
+        self.dispatcher.refuse_revoked()
 
     async def _register(self):
         """Register this instance in the store and list the others."""
