Collect all errors of a configuration with one decoding

Cause: decoding ended at the first error, so an operator corrected one at a time, and the error of a field did not say of which resource.

--- a/kumquatsaddle/accounts/table.py
+++ b/kumquatsaddle/accounts/table.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from hashlib import blake2b
 
-from kumquatsaddle.exceptions import ConfigurationError
+from kumquatsaddle.exceptions import ConfigurationError, raise_error
 from kumquatsaddle.types import AccountId, KeyDigest, Rank
 
 __all__ = ["AccountTable", "ClientAccount", "Quota", "make_account_table"]
@@ -86,13 +86,27 @@
         """
         return self._names_by_digest.get(_compute_key_digest(key)) == name
 
+    def group_key_digests(self):
+        """Return a dict of AccountId to the set of the digests of its API keys.
 
-def make_account_table(accounts_and_keys):
+        Accounts without keys are not in it.
+        """
+        digests_by_name = {}
+        for digest, name in self._names_by_digest.items():
+            digests_by_name.setdefault(name, set()).add(digest)
+        return digests_by_name
+
+
+def make_account_table(accounts_and_keys, report=raise_error):
     """Return the table of accounts with their API keys.
 
     Parameters
     ----------
     accounts_and_keys : iterable of (ClientAccount, iterable of bytes)
+    report : callable, optional
+        Gets each `ConfigurationError`. One that returns keeps the first of two accounts
+        with one name, and the first holder of a key. The default raises the first
+        error.
 
     Raises
     ------
@@ -111,14 +125,14 @@
     accounts, names_by_digest = {}, {}
     for account, keys in accounts_and_keys:
         if account.name in accounts:
-            raise ConfigurationError("two accounts have this name", account.name)
+            report(ConfigurationError("two accounts have this name", account.name))
+            continue
         accounts[account.name] = account
         for key in keys:
             digest = _compute_key_digest(key)
             if names_by_digest.setdefault(digest, account.name) != account.name:
-                raise ConfigurationError(
-                    "an API key belongs to another account as well", account.name
-                )
+                problem = "an API key belongs to another account as well"
+                report(ConfigurationError(problem, account.name))
     return AccountTable(accounts, names_by_digest)
 
 
--- a/kumquatsaddle/exceptions.py
+++ b/kumquatsaddle/exceptions.py
@@ -21,6 +21,7 @@
     "RateLimitedError",
     "BackendsPausedError",
     "OutcomeUnknownError",
+    "raise_error",
 ]
 
 
@@ -168,3 +169,8 @@
         self.reason = reason
         self.detail = detail
         super().__init__(f"{reason.value}: {detail}" if detail else reason.value)
+
+
+def raise_error(error):
+    """Raise an error; the default of functions that report each error to a callable."""
+    raise error
--- a/kumquatsaddle/routes/table.py
+++ b/kumquatsaddle/routes/table.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from random import Random
 
-from kumquatsaddle.exceptions import ConfigurationError
+from kumquatsaddle.exceptions import ConfigurationError, raise_error
 from kumquatsaddle.types import ConfigVersion, Rank, ServiceName
 
 __all__ = [
@@ -114,6 +114,7 @@
     ----------
     version : ConfigVersion
     routes : iterable of PublishedRoute
+        Each with another host or prefix.
     services : dict of ServiceName to PublishedService
     limits : CallerLimits or None
         None keeps the limits of the settings.
@@ -128,12 +129,7 @@
         self.accounts = accounts
         self._by_host = {}
         for route in routes:
-            prefixes = self._by_host.setdefault(route.host, {})
-            if route.prefix in prefixes:
-                raise ConfigurationError(
-                    f"{route.host}{route.prefix} has two routes", route.name
-                )
-            prefixes[route.prefix] = route
+            self._by_host.setdefault(route.host, {})[route.prefix] = route
 
     def match_route(self, host, path):
         """Return the route of a request, or None.
@@ -207,9 +203,19 @@
         return chosen
 
 
-def make_route_table(version, routes, services, limits=None, accounts=None):
+def make_route_table(
+    version, routes, services, limits=None, accounts=None, report=raise_error
+):
     """Return a validated table; see `RouteTable`.
 
+    Parameters
+    ----------
+    version, routes, services, limits, accounts
+        See `RouteTable`.
+    report : callable, optional
+        Gets each `ConfigurationError`. One that returns leaves invalid routes out of
+        the table. The default raises the first error.
+
     Raises
     ------
     ConfigurationError
@@ -229,31 +235,31 @@
     >>> table.match_route("shop.example:80", "/a/b").name
     'r'
     """
-    routes = list(routes)
+    valid_routes, taken = [], set()
     for route in routes:
-        _check_route(route, services)
-    return RouteTable(ConfigVersion(version), routes, services, limits, accounts)
-
-
-def _check_route(route, services):
+        problems = list(_list_problems(route, services))
+        if (route.host, route.prefix) in taken:
+            problems.append(f"{route.host}{route.prefix} has two routes")
+        taken.add((route.host, route.prefix))
+        for problem in problems:
+            report(ConfigurationError(problem, route.name))
+        if not problems:
+            valid_routes.append(route)
+    return RouteTable(ConfigVersion(version), valid_routes, services, limits, accounts)
+
+
+def _list_problems(route, services):
+    """Yield what is wrong with a route by itself."""
     if not route.prefix.startswith("/") or not route.prefix.endswith("/"):
-        raise ConfigurationError(
-            f"prefix {route.prefix!r} does not begin and end with a slash", route.name
-        )
+        yield f"prefix {route.prefix!r} does not begin and end with a slash"
     if not route.shares or any(share.weight < 0 for share in route.shares):
-        raise ConfigurationError(
-            "the route has no service or a negative weight", route.name
-        )
-    if sum(share.weight for share in route.shares) <= 0:
-        raise ConfigurationError("the weights of the services are all zero", route.name)
+        yield "the route has no service or a negative weight"
+    elif sum(share.weight for share in route.shares) <= 0:
+        yield "the weights of the services are all zero"
     for share in route.shares:
         if share.service not in services:
-            raise ConfigurationError(
-                f"the route names the unknown service {share.service!r}", route.name
-            )
+            yield f"the route names the unknown service {share.service!r}"
     if route.timeout <= 0 or route.objective <= 0:
-        raise ConfigurationError(
-            "the timeout or the objective is not positive", route.name
-        )
+        yield "the timeout or the objective is not positive"
     if route.max_attempts < 1:
-        raise ConfigurationError("max_attempts is less than 1", route.name)
+        yield "max_attempts is less than 1"
