Add kumquatsaddle-review

Cause: a configuration of published routes could only be checked by sending it. Change: the command reviews a file, compares it with the one in force and knows the work and the slots from a further file. The page says which command is for which format; its commands are run as tests.

--- a/docs/tests/pages.feature
+++ b/docs/tests/pages.feature
@@ -38,11 +38,12 @@
     Then each of them succeeds and prints what the page shows
 
     Examples:
-      | page                           |
-      | docs/operators/first-set-up.md |
-      | docs/operators/stop.md         |
-      | docs/protocol.md               |
-      | CONTRIBUTING.md                |
+      | page                                     |
+      | docs/operators/first-set-up.md           |
+      | docs/operators/stop.md                   |
+      | docs/protocol.md                         |
+      | CONTRIBUTING.md                          |
+      | docs/operators/review-a-configuration.md |
 
   # Guards against console blocks on pages that no scenario runs.
   Scenario: every page with commands is run
--- a/docs/tests/sessions.py
+++ b/docs/tests/sessions.py
@@ -18,7 +18,7 @@
 
 __all__ = ["run_page"]
 
-_BINARIES = ("node", "ctl", "check", "load", "report")
+_BINARIES = ("node", "ctl", "check", "load", "report", "review")
 # Longest time in seconds for a page; a hanging command fails instead of the run.
 _TIMEOUT = 240
 _NETWORK = f"127.{os.getpid() % 250 + 2}.252."
--- a/kumquatsaddle/commands/offline.py
+++ b/kumquatsaddle/commands/offline.py
@@ -1,4 +1,4 @@
-"""Parts of ``kumquatsaddle-ctl`` and ``kumquatsaddle-check`` that need no instance."""
+"""Parts of the commands for configurations that need no instance."""
 
 import json
 import sys
@@ -8,7 +8,7 @@
 from kumquatsaddle.configuration.state import make_configuration
 from kumquatsaddle.exceptions import ConfigurationError, ConflictError
 
-__all__ = ["apply_fields", "load_json", "prune_claims", "validate_file"]
+__all__ = ["apply_fields", "load_json", "prune_claims", "read_file", "validate_file"]
 
 _CLAIMS_PREFIX = "claims/"
 # Claims are kept for a day, so that a late repeat still gets the first result.
@@ -17,6 +17,20 @@
 _KINDS = ("service", "template", "account", "drain")
 
 
+def read_file(file):
+    """Return the bytes of a file, or of standard input for ``-``.
+
+    Raises
+    ------
+    ConfigurationError
+        If the file cannot be read; names the file.
+    """
+    try:
+        return sys.stdin.buffer.read() if file == "-" else Path(file).read_bytes()
+    except OSError as error:
+        raise ConfigurationError(error.strerror, file) from None
+
+
 def load_json(file):
     """Return the JSON value of a file, or of standard input for ``-``.
 
@@ -25,11 +39,9 @@
     ConfigurationError
         If the file cannot be read or is not JSON; names the file and the line.
     """
+    data = read_file(file)
     try:
-        text = sys.stdin.read() if file == "-" else Path(file).read_text("utf-8")
-        return json.loads(text)
-    except OSError as error:
-        raise ConfigurationError(error.strerror, file) from None
+        return json.loads(data.decode("utf-8"))
     except UnicodeDecodeError as error:
         raise ConfigurationError(f"not UTF-8 at byte {error.start}", file) from None
     except json.JSONDecodeError as error:
