--- a/kumquatsaddle/configuration/distribution.py
+++ b/kumquatsaddle/configuration/distribution.py
@@ -17,11 +17,8 @@
 
 from kumquatsaddle.configuration.changes import PAGE_ROWS, read_change_page
 from kumquatsaddle.configuration.history import RecentChanges
-from kumquatsaddle.configuration.snapshots import (
-    decode_snapshot,
-    read_snapshot,
-    write_snapshot,
-)
+from kumquatsaddle.configuration.snapshot_writer import make_snapshot_writer
+from kumquatsaddle.configuration.snapshots import decode_snapshot, read_snapshot
 from kumquatsaddle.configuration.transport import (
     ChangesReply,
     dump_backends,
@@ -97,8 +94,7 @@
         self._rng = rng or random.Random()
         self._catch_up_requested = trio.Event()
         self._list_generation = 0
-        self._pending_snapshot = None
-        self._snapshot_requested = trio.Event()
+        self._snapshot_writer = make_snapshot_writer(platform, metrics)
 
     @property
     def version(self):
@@ -212,7 +208,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._catch_up)
             nursery.start_soon(self._poll)
-            nursery.start_soon(self._write_snapshots)
+            nursery.start_soon(self._snapshot_writer.run)
 
     async def answer_fetch(self, after, want_backends):
         """Return the changes or the snapshot that a peer at version `after` lacks.
@@ -235,8 +231,7 @@
 
     def schedule_snapshot(self):
         """Request a snapshot of the version in force in the object store."""
-        self._pending_snapshot = self.configuration.copy()
-        self._snapshot_requested.set()
+        self._snapshot_writer.schedule(self.configuration)
 
     def _record_newer_version(self, version):
         if version <= self.version:
@@ -372,18 +367,6 @@
             return False
         return True
 
-    async def _write_snapshots(self):
-        while True:
-            await self._snapshot_requested.wait()
-            self._snapshot_requested = trio.Event()
-            try:
-                await write_snapshot(self.platform, self._pending_snapshot)
-                self.metrics.count("snapshots_written")
-            except PlatformError as error:
-                self.metrics.count("snapshots_failed")
-                log_event("snapshot_failed", level="WARNING", error=error)
-            self._pending_snapshot = None
-
 
 def make_distribution(
     configuration, platform, transport, metrics, get_poll_interval, on_change, rng=None
