--- a/kumquatsaddle/configuration/snapshot_writer.py
+++ b/kumquatsaddle/configuration/snapshot_writer.py
@@ -34,13 +34,14 @@
         while True:
             await self._requested.wait()
             self._requested = trio.Event()
+            # Another one may be requested during the write.
+            configuration, self._pending = self._pending, None
             try:
-                await write_snapshot(self._platform, self._pending)
+                await write_snapshot(self._platform, configuration)
                 self._metrics.count("snapshots_written")
             except PlatformError as error:
                 self._metrics.count("snapshots_failed")
                 log_event("snapshot_failed", level="WARNING", error=error)
-            self._pending = None
 
 
 def make_snapshot_writer(platform, metrics):
