Dump limits and floors of templates and accounts by one function

Cause: configuration/values.py had the same lines for both. Change: one function; no change of behaviour. Measured: kumquatsaddle/configuration/tests 30 scenarios passed, among them the dump and parse of every valid entity.

--- a/kumquatsaddle/configuration/values.py
+++ b/kumquatsaddle/configuration/values.py
@@ -117,12 +117,7 @@
         }
         for route in template.routes
     ]
-    value = {"routes": routes}
-    if template.limits:
-        value["limits"] = _dump_limits(template.limits)
-    if template.floors:
-        value["floors"] = dict(template.floors)
-    return value
+    return {"routes": routes, **_dump_limits_and_floors(template)}
 
 
 def _dump_account(account):
@@ -133,15 +128,17 @@
         value["ranks"] = {
             name: rank.name.lower() for name, rank in account.ranks.items()
         }
-    if account.limits:
-        value["limits"] = _dump_limits(account.limits)
-    if account.floors:
-        value["floors"] = dict(account.floors)
-    return value
+    return {**value, **_dump_limits_and_floors(account)}
 
 
-def _dump_limits(limits):
-    return {
-        name: {"rate": limit.rate, "burst": limit.burst}
-        for name, limit in limits.items()
-    }
+def _dump_limits_and_floors(entity):
+    """Return the fields that templates and accounts have in common, if not empty."""
+    value = {}
+    if entity.limits:
+        value["limits"] = {
+            name: {"rate": limit.rate, "burst": limit.burst}
+            for name, limit in entity.limits.items()
+        }
+    if entity.floors:
+        value["floors"] = dict(entity.floors)
+    return value
