--- a/kumquatsaddle/accounts/table.py
+++ b/kumquatsaddle/accounts/table.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from hashlib import blake2b
 
-from kumquatsaddle.exceptions import ConfigurationError
+from kumquatsaddle.exceptions import ConfigurationError, raise_error
 from kumquatsaddle.types import AccountId, KeyDigest, Rank
 
 __all__ = [
@@ -105,6 +105,16 @@
         """Return the number of API keys of all accounts."""
         return len(self._names_by_digest)
 
+    def group_key_digests(self):
+        """Return a dict of AccountId to the set of the digests of its API keys.
+
+        Accounts without keys are not in it.
+        """
+        digests_by_name = {}
+        for digest, name in self._names_by_digest.items():
+            digests_by_name.setdefault(name, set()).add(digest)
+        return digests_by_name
+
 
 def compute_key_digest(key):
     """Return the digest of an API key.
@@ -116,12 +126,16 @@
     return KeyDigest(blake2b(key, digest_size=_DIGEST_BYTES).digest())
 
 
-def make_account_table(accounts_and_digests):
+def make_account_table(accounts_and_digests, report=raise_error):
     """Return the table of accounts with their API keys.
 
     Parameters
     ----------
     accounts_and_digests : iterable of (ClientAccount, iterable of KeyDigest)
+    report : callable, optional
+        Gets each `ConfigurationError`. One that returns keeps the first of two accounts
+        with one name, and the first holder of a key. The default raises the first
+        error.
 
     Raises
     ------
@@ -141,11 +155,11 @@
     accounts, names_by_digest = {}, {}
     for account, digests in accounts_and_digests:
         if account.name in accounts:
-            raise ConfigurationError("two accounts have this name", account.name)
+            report(ConfigurationError("two accounts have this name", account.name))
+            continue
         accounts[account.name] = account
         for digest in digests:
             if names_by_digest.setdefault(digest, account.name) != account.name:
-                raise ConfigurationError(
-                    "an API key belongs to another account as well", account.name
-                )
+                problem = "an API key belongs to another account as well"
+                report(ConfigurationError(problem, account.name))
     return AccountTable(accounts, names_by_digest)
--- a/kumquatsaddle/configuration/distribution.py
+++ b/kumquatsaddle/configuration/distribution.py
@@ -17,11 +17,8 @@
 
 from kumquatsaddle.configuration.changes import PAGE_ROWS, read_change_page
 from kumquatsaddle.configuration.history import RecentChanges
-from kumquatsaddle.configuration.snapshots import (
-    decode_snapshot,
-    read_snapshot,
-    write_snapshot,
-)
+from kumquatsaddle.configuration.snapshot_writer import make_snapshot_writer
+from kumquatsaddle.configuration.snapshots import decode_snapshot, read_snapshot
 from kumquatsaddle.configuration.transport import (
     ChangesReply,
     dump_backends,
@@ -97,8 +94,7 @@
         self._rng = rng or random.Random()
         self._catch_up_requested = trio.Event()
         self._list_generation = 0
-        self._pending_snapshot = None
-        self._snapshot_requested = trio.Event()
+        self._snapshot_writer = make_snapshot_writer(platform, metrics)
 
     @property
     def version(self):
@@ -202,8 +198,7 @@
                 if self.backends is not None:
                     break
             self.count_retry(ConfigurationRetry.START_INCOMPLETE)
-            await trio.sleep(delay * self._rng.uniform(0.5, 1.5))
-            delay = min(_MAX_RETRY_DELAY_SECONDS, 2 * delay)
+            delay = await self._sleep_before_retry(delay)
         self.ready = True
         log_event("configuration_loaded", version=self.version)
         await self.announce()
@@ -213,7 +208,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._catch_up)
             nursery.start_soon(self._poll)
-            nursery.start_soon(self._write_snapshots)
+            nursery.start_soon(self._snapshot_writer.run)
 
     async def answer_fetch(self, after, want_backends):
         """Return the changes or the snapshot that a peer at version `after` lacks.
@@ -236,8 +231,7 @@
 
     def schedule_snapshot(self):
         """Request a snapshot of the version in force in the object store."""
-        self._pending_snapshot = self.configuration.copy()
-        self._snapshot_requested.set()
+        self._snapshot_writer.schedule(self.configuration)
 
     def _record_newer_version(self, version):
         if version <= self.version:
@@ -261,18 +255,14 @@
 
     async def _read_platform(self, succeeded):
         with trio.move_on_after(_FIRST_READ_TIMEOUT_SECONDS):
-            try:
-                await self._read_snapshot()
-                await self.read_change_log()
-                await self.read_instance_list()
+            if await self._try_read(self._read_all):
                 succeeded.append(True)
-            except (PlatformError, ConfigurationError) as error:
-                self.metrics.count("platform_reads_failed")
-                log_event("platform_read_failed", level="WARNING", error=error)
 
-    async def _read_snapshot(self):
+    async def _read_all(self):
         if self.version == 0:
             self._replace_configuration(await read_snapshot(self.platform))
+        await self.read_change_log()
+        await self.read_instance_list()
 
     async def _fetch_from_peers(self, succeeded):
         addresses = self.transport.addresses()
@@ -330,8 +320,12 @@
                     delay = _MIN_RETRY_DELAY_SECONDS
                     continue
                 self.count_retry(ConfigurationRetry.FETCH_FAILED)
-                await trio.sleep(delay * self._rng.uniform(0.5, 1.5))
-                delay = min(_MAX_RETRY_DELAY_SECONDS, 2 * delay)
+                delay = await self._sleep_before_retry(delay)
+
+    async def _sleep_before_retry(self, delay):
+        """Sleep for about `delay` seconds; return the delay of the next retry."""
+        await trio.sleep(delay * self._rng.uniform(0.5, 1.5))
+        return min(_MAX_RETRY_DELAY_SECONDS, 2 * delay)
 
     def _list_addresses_ahead(self):
         """Return addresses of a few peers with a higher version.
@@ -364,23 +358,14 @@
             await self._try_read(self.read_instance_list)
 
     async def _try_read(self, read):
+        """Read from the platform; return whether that succeeded."""
         try:
             await read()
         except (PlatformError, ConfigurationError) as error:
             self.metrics.count("platform_reads_failed")
             log_event("platform_read_failed", level="WARNING", error=error)
-
-    async def _write_snapshots(self):
-        while True:
-            await self._snapshot_requested.wait()
-            self._snapshot_requested = trio.Event()
-            try:
-                await write_snapshot(self.platform, self._pending_snapshot)
-                self.metrics.count("snapshots_written")
-            except PlatformError as error:
-                self.metrics.count("snapshots_failed")
-                log_event("snapshot_failed", level="WARNING", error=error)
-            self._pending_snapshot = None
+            return False
+        return True
 
 
 def make_distribution(
