Order and refuse waiting requests by value under scarcity

Cause: under scarcity a queue in the order of rank and deadline serves nearly all requests just before their deadline, where they have 12 to 50% of their value, and refuses the others only then. Change: setting [queue] policy. With value, requests that can still be answered within their objective go first, requests beyond the usual load of an account go last, what cannot start in time is refused at once, and a less urgent rank is not served more often than a more urgent one. Default is deadline, the order as before.

--- a/kumquatsaddle/balance/averages.py
+++ b/kumquatsaddle/balance/averages.py
@@ -1,5 +1,7 @@
 """Moving averages of the response time and size of the answers of each route."""
 
+from kumquatsaddle.balance.work import WorkEstimates
+
 __all__ = ["RouteAverages"]
 
 # Weight of the latest answer in an average.
@@ -12,9 +14,16 @@
 
 
 class RouteAverages:
-    """Moving averages of the response time and size of served requests, by route."""
+    """Moving averages of the response time and size of served requests, by route.
+
+    Attributes
+    ----------
+    work : WorkEstimates
+        Distributions of the response time.
+    """
 
     def __init__(self):
+        self.work = WorkEstimates()
         self._mean_seconds = {}
         self._mean_bytes = {}
 
@@ -25,6 +34,7 @@
 
     def add_seconds(self, route, seconds):
         """Add the response time of a served request."""
+        self.work.add(route, seconds)
         mean = self._mean_seconds.get(route.name)
         if mean is None:
             self._mean_seconds[route.name] = seconds
@@ -36,6 +46,7 @@
 
     def retain_routes(self, names):
         """Remove the averages of routes that are not among `names`."""
+        self.work.retain_routes(names)
         for values in (self._mean_seconds, self._mean_bytes):
             for name in set(values) - set(names):
                 del values[name]
--- a/kumquatsaddle/balance/dispatcher.py
+++ b/kumquatsaddle/balance/dispatcher.py
@@ -57,6 +57,8 @@
     metrics : Metrics
     max_answer_bytes : int
         Longest body of an answer, in bytes.
+    queue_policy : str, default="deadline"
+        Setting ``[queue] policy``.
 
     Attributes
     ----------
@@ -79,7 +81,15 @@
         zones in which its service has servers; default: all of it.
     """
 
-    def __init__(self, zone, protocol, retry_limits, metrics, max_answer_bytes):
+    def __init__(
+        self,
+        zone,
+        protocol,
+        retry_limits,
+        metrics,
+        max_answer_bytes,
+        queue_policy="deadline",
+    ):
         self.pools = {}
         self.protocol = protocol
         self.retry_limits = retry_limits
@@ -93,6 +103,7 @@
         self.on_departure = lambda server, is_first_hand: None
         self.compute_limit_share = lambda server, supplied_zones: WHOLE_RATE
         self._zone = zone
+        self._queue_policy = queue_policy
         self._unattended = frozenset()
         self._start_limit = StartLimit()
         self._departures = Departures()
@@ -274,6 +285,9 @@
                 self.retry_limits,
                 self.averages,
                 self._departures,
+                self._queue_policy,
+                self.metrics,
+                service,
             )
             pool.unattended = self._unattended
             self.pools[service] = pool
@@ -418,7 +432,14 @@
 
 
 def make_balanced_dispatcher(
-    zone, protocol, metrics, max_answer_bytes, share=0.1, allowance=10.0, window=10.0
+    zone,
+    protocol,
+    metrics,
+    max_answer_bytes,
+    share=0.1,
+    allowance=10.0,
+    window=10.0,
+    queue_policy="deadline",
 ):
     """Return a dispatcher without servers; see `BalancedDispatcher`.
 
@@ -426,6 +447,10 @@
     ----------
     share, allowance, window : float
         See `RetryLimits`.
+    queue_policy : str, default="deadline"
+        A name in `kumquatsaddle.balance.overload.queue_policies`.
     """
     retry_limits = RetryLimits(share, allowance, window)
-    return BalancedDispatcher(zone, protocol, retry_limits, metrics, max_answer_bytes)
+    return BalancedDispatcher(
+        zone, protocol, retry_limits, metrics, max_answer_bytes, queue_policy
+    )
--- /dev/null
+++ b/kumquatsaddle/balance/overload.py
@@ -0,0 +1,496 @@
+"""Which waiting requests of one service are refused under scarcity, and when to return.
+
+Handles the queue of one instance, which gets its share of the slots of all servers: a
+few to some tens of starts a second, and bursts of several seconds. Each decision is
+made from what this queue has seen. Without estimates nothing is refused early.
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+from math import ceil, exp, sqrt
+from random import Random
+
+from kumquatsaddle.balance.account_profiles import AccountProfiles
+from kumquatsaddle.balance.waiting import Waiter, make_waiting_requests
+from kumquatsaddle.registries import Registry
+from kumquatsaddle.types import Rank
+
+__all__ = [
+    "DeadlineControl",
+    "QueueRefusal",
+    "QueueRule",
+    "RankShares",
+    "SlotRate",
+    "ValueControl",
+    "make_queue_control",
+    "queue_policies",
+]
+
+queue_policies = Registry("queue policy")
+
+# Share of the requests of a route that is answered within the time that the order
+# assumes for it.
+_WORK_QUANTILE = 0.8
+# Time over which the slot rate is counted while requests wait. A burst lasts 3 to 6 s.
+_RATE_SECONDS = 4.0
+# The rate is forgotten over this time without waiting requests: servers come and go.
+_RATE_IDLE_SECONDS = 30.0
+# Time with waiting requests before the rate is used.
+_MIN_BUSY_SECONDS = 1.0
+# Work of a request assumed where no start was seen.
+_DEFAULT_WORK_SECONDS = 0.2
+# Time over which the served share of each rank is counted: at least a burst.
+_SHARE_SECONDS = 10.0
+# Losses of a more urgent rank, over that time, below which nothing follows from them.
+_MIN_LOSSES = 1.5
+# Part of the starts that go before a waiting less urgent rank and give it one start.
+_FLOOR_SHARE = 0.05
+_MAX_FLOOR_CREDIT = 1.0
+# A rank gets its floor while its served share is below this part of that of each more
+# urgent rank, which must not be served less often.
+_FLOOR_RATIO = 0.5
+# A shortage counts as ended after this time without a loss.
+_SHORTAGE_GAP_SECONDS = 2.0
+_MIN_RETRY_SECONDS, _MAX_RETRY_SECONDS = 0.1, 10.0
+# Range of the random factor of a Retry-After, which spreads the returning requests.
+_RETRY_SPREAD = (0.8, 1.3)
+
+
+class QueueRule(Enum):
+    """Which rule refused a waiting request; the label of a counter."""
+
+    # It cannot start in time behind the requests before it.
+    HOPELESS = "hopeless"
+    # A more urgent rank of the service is served less often.
+    RANK = "rank"
+
+
+@dataclass(frozen=True, slots=True)
+class QueueRefusal:
+    """What decided that a request is refused before its latest start.
+
+    Parameters
+    ----------
+    rule : QueueRule
+    place : int
+        Number of requests before it in the queue.
+    work_before : float
+        Their expected work, in seconds at a server.
+    slot_rate : float or None
+        Work that this queue can start in a second, in seconds; None if it is not known.
+    time_left : float
+        Time until its latest start, in seconds.
+    retry_after : float
+        In seconds.
+    """
+
+    rule: QueueRule
+    place: int
+    work_before: float
+    slot_rate: float | None
+    time_left: float
+    retry_after: float
+
+
+class SlotRate:
+    """The work that a queue starts and gets while requests wait, per second."""
+
+    def __init__(self):
+        self._updated_at = None
+        self._busy_seconds = 0.0
+        self._starts = 0.0
+        self._started_work = 0.0
+        self._arrivals = dict.fromkeys(Rank, 0.0)
+        self._arrived_work = dict.fromkeys(Rank, 0.0)
+
+    def advance(self, now, is_busy):
+        """Count the time until `now`, in which requests waited or not."""
+        if self._updated_at is None:
+            self._updated_at = now
+        elapsed = now - self._updated_at
+        if elapsed <= 0.0:
+            return
+        self._updated_at = now
+        kept = exp(-elapsed / (_RATE_SECONDS if is_busy else _RATE_IDLE_SECONDS))
+        self._busy_seconds *= kept
+        if is_busy:
+            self._busy_seconds += (1.0 - kept) * _RATE_SECONDS
+        self._starts *= kept
+        self._started_work *= kept
+        for rank in Rank:
+            self._arrivals[rank] *= kept
+            self._arrived_work[rank] *= kept
+
+    def add_start(self, work):
+        """Count a request that started while others waited."""
+        self._starts += 1.0
+        self._started_work += work
+
+    def add_arrival(self, rank, work):
+        """Count a request that arrived while others waited."""
+        self._arrivals[rank] += 1.0
+        self._arrived_work[rank] += work
+
+    def is_known(self):
+        """Return whether requests have waited for long enough."""
+        return self._busy_seconds >= _MIN_BUSY_SECONDS
+
+    def estimate(self, optimism=0.0):
+        """Return the work started in a second, in seconds.
+
+        Parameters
+        ----------
+        optimism : float, default=0.0
+            Standard deviations of the number of starts that are added to it.
+        """
+        starts = self._starts + optimism * (1.0 + sqrt(self._starts))
+        work = _DEFAULT_WORK_SECONDS
+        if self._starts >= 1.0:
+            work = self._started_work / self._starts
+        return starts * work / self._busy_seconds
+
+    def estimate_arrivals(self, ranks, optimism=0.0):
+        """Return the work of some ranks that arrives in a second, in seconds.
+
+        Parameters
+        ----------
+        ranks : iterable of Rank
+        optimism : float, default=0.0
+            Standard deviations of the number of arrivals that are subtracted from it.
+        """
+        count = sum(self._arrivals[rank] for rank in ranks)
+        if not count:
+            return 0.0
+        work = sum(self._arrived_work[rank] for rank in ranks)
+        return max(0.0, 1.0 - optimism / sqrt(count)) * work / self._busy_seconds
+
+
+class RankShares:
+    """The share of the requests of each rank that started, of those that ended here."""
+
+    def __init__(self):
+        self._updated_at = None
+        self._started = dict.fromkeys(Rank, 0.0)
+        self._lost = dict.fromkeys(Rank, 0.0)
+        self._lost_at = float("-inf")
+        self._short_since = float("-inf")
+
+    def add_start(self, rank, now):
+        """Count a request that started."""
+        self._advance(now)
+        self._started[rank] += 1.0
+
+    def add_loss(self, rank, now):
+        """Count a request that was refused for want of a slot."""
+        self._advance(now)
+        self._lost[rank] += 1.0
+        if now - self._lost_at > _SHORTAGE_GAP_SECONDS:
+            self._short_since = now
+        self._lost_at = now
+
+    def compute_shortage_age(self, now):
+        """Return for how long requests have been refused, in seconds."""
+        return now - self._short_since if now - self._lost_at < _SHARE_SECONDS else 0.0
+
+    def compute_share(self, rank, now):
+        """Return the started share of a rank, 0 to 1; 1 without losses."""
+        self._advance(now)
+        lost = self._lost[rank]
+        if lost < _MIN_LOSSES:
+            return 1.0
+        return self._started[rank] / (self._started[rank] + lost)
+
+    def compute_least_share(self, rank, now):
+        """Return the least share of the ranks more urgent than `rank`."""
+        shares = [self.compute_share(other, now) for other in Rank if other < rank]
+        return min(shares, default=1.0)
+
+    def count_surplus(self, rank, waiting, now):
+        """Return how many waiting requests of a rank would be served beyond its share.
+
+        The share is that of the more urgent rank that is served least often.
+        """
+        least = self.compute_least_share(rank, now)
+        if least >= 1.0:
+            return 0
+        served = self._started[rank] + waiting
+        return max(0, ceil(served - least * (served + self._lost[rank]) - 1e-9))
+
+    def _advance(self, now):
+        if self._updated_at is not None and now > self._updated_at:
+            kept = exp((self._updated_at - now) / _SHARE_SECONDS)
+            for values in (self._started, self._lost):
+                for rank in values:
+                    values[rank] *= kept
+        self._updated_at = now
+
+
+@queue_policies.register("deadline")
+class DeadlineControl:
+    """Order by rank and deadline; a request waits until its latest start.
+
+    Parameters
+    ----------
+    averages : RouteAverages
+    """
+
+    def __init__(self, averages):
+        self.queue = make_waiting_requests("deadline")
+        self._averages = averages
+
+    def make_waiter(self, request, excluded, until, event, now):
+        """Return a waiter for a request; see `Waiter`."""
+        return Waiter(request, excluded, until, event)
+
+    def list_parts(self, now):
+        """Return lists of waiters in their order."""
+        return self.queue.list_parts(now)
+
+    def record_arrival(self, request, now):
+        """Count a request that arrived."""
+
+    def check_arrival(self, request, now):
+        """Return the `QueueRefusal` of a request that must not start at once, or None.
+
+        Call it for a request for which a slot may be free.
+        """
+        return None
+
+    def record_start(self, request, now):
+        """Count a request that started."""
+
+    def record_loss(self, request, now):
+        """Count a request that was refused for want of a slot."""
+
+    def find_refusals(self, now):
+        """Return the waiters to refuse with their `QueueRefusal`."""
+        return []
+
+    def estimate_wait(self, rank, now):
+        """Return the wait of a new request of a rank in seconds, or None."""
+        return None
+
+
+@queue_policies.register("value")
+class ValueControl(DeadlineControl):
+    """Order by rank and value; refuses what cannot be served in time.
+
+    Parameters
+    ----------
+    averages : RouteAverages
+    random : Random, optional
+        Spreads the Retry-After.
+    """
+
+    def __init__(self, averages, random=None):
+        self.queue = make_waiting_requests("value")
+        self._averages = averages
+        self._random = random or Random()
+        self._rate = SlotRate()
+        self._shares = RankShares()
+        self._profiles = AccountProfiles()
+        self._credits = dict.fromkeys(Rank, 0.0)
+
+    def make_waiter(self, request, excluded, until, event, now):
+        """Return a waiter for a request; see `Waiter`."""
+        route = request.route
+        usual = self._averages.work.estimate(route, _WORK_QUANTILE)
+        if usual is None:
+            usual = self._averages.estimate_seconds(route)
+        # A request that was refused before arrives with less than its whole time.
+        first_sent = min(request.arrived, request.deadline - route.timeout)
+        return Waiter(
+            request,
+            excluded,
+            until,
+            event,
+            self._averages.estimate_seconds(route),
+            first_sent + route.objective - usual,
+            request.is_excess,
+        )
+
+    def record_arrival(self, request, now):
+        """Count a request that arrived."""
+        if request.account is not None:
+            name = request.account.name
+            request.is_excess = self._profiles.add_arrival(name, now)
+        self._rate.advance(now, bool(self.queue))
+        if self.queue:
+            work = self._averages.estimate_seconds(request.route)
+            self._rate.add_arrival(request.rank, work)
+
+    def check_arrival(self, request, now):
+        """Return the `QueueRefusal` of a request that must not start at once, or None.
+
+        A less urgent one could find a slot here while more urgent ones are refused at
+        other instances too.
+        """
+        waiting = self.queue.count_by_rank(request.rank)
+        if not self._shares.count_surplus(request.rank, waiting + 1, now):
+            return None
+        waiter = self.make_waiter(request, frozenset(), request.deadline, None, now)
+        work = self.queue.sum_work(request.rank)
+        return self._make_refusal(QueueRule.RANK, waiter, waiting, work, now)
+
+    def record_start(self, request, now):
+        """Count a request that started."""
+        self._shares.add_start(request.rank, now)
+        self._rate.advance(now, bool(self.queue))
+        if not self.queue:
+            return
+        self._rate.add_start(self._averages.estimate_seconds(request.route))
+        for rank in Rank:
+            if rank > request.rank and self.queue.count_by_rank(rank):
+                credit = self._credits[rank] + _FLOOR_SHARE
+                self._credits[rank] = min(_MAX_FLOOR_CREDIT, credit)
+        if self.queue.is_waiting_before(request.rank - 1):
+            # It passed a more urgent one by its floor.
+            self._credits[request.rank] = 0.0
+
+    def record_loss(self, request, now):
+        """Count a request that was refused for want of a slot."""
+        self._shares.add_loss(request.rank, now)
+
+    def list_parts(self, now):
+        """Return lists of waiters in their order; one may be in two of them."""
+        parts = self.queue.list_parts(now)
+        for rank in reversed(Rank):
+            if self._credits[rank] >= _MAX_FLOOR_CREDIT and self._is_below_floor(
+                rank, now
+            ):
+                first = next((part for part in parts if part[0].rank == rank), None)
+                if first is not None:
+                    return [first[:1], *parts]
+        return parts
+
+    def find_refusals(self, now):
+        """Return the waiters to refuse with their `QueueRefusal`.
+
+        Call it at most once for each arrival, and only while no server has a free slot.
+        """
+        self._rate.advance(now, bool(self.queue))
+        parts = self.queue.list_parts(now)
+        refusals = self._find_hopeless(parts, now) if self._rate.is_known() else []
+        return refusals + self._find_surplus(parts, refusals, now)
+
+    def estimate_wait(self, rank, now):
+        """Return the wait of a new request of a rank in seconds, or None."""
+        self._rate.advance(now, bool(self.queue))
+        if not self._rate.is_known():
+            return None
+        return self._estimate_wait(rank)
+
+    def _is_below_floor(self, rank, now):
+        least = self._shares.compute_least_share(rank, now)
+        return self._shares.compute_share(rank, now) < _FLOOR_RATIO * least
+
+    def _find_hopeless(self, parts, now):
+        refusals, place, work_before = [], 0, 0.0
+        rates = self._compute_free_rates()
+        for part in parts:
+            for waiter in part:
+                is_last = waiter.is_excess or waiter.objective_start < now
+                wait = _divide(work_before, rates[waiter.rank, is_last])
+                if not is_last and now + wait > waiter.objective_start:
+                    # It will be late, and then newer requests go before it.
+                    wait = _divide(work_before, rates[waiter.rank, True])
+                if now + wait <= waiter.until:
+                    place += 1
+                    work_before += waiter.work
+                    continue
+                refusal = self._make_refusal(
+                    QueueRule.HOPELESS, waiter, place, work_before, now
+                )
+                refusals.append((waiter, refusal))
+        return refusals
+
+    def _compute_free_rates(self):
+        """Return what newer requests that go first leave of the slot rate.
+
+        Returns
+        -------
+        dict of (Rank, bool) to float
+            By rank and whether newer requests of the same rank go first. Estimated so
+            that chance refuses little: a standard deviation more starts and fewer
+            arrivals.
+        """
+        rate = self._rate.estimate(optimism=1.0)
+        free = {}
+        for rank in Rank:
+            for is_last in (False, True):
+                ahead = [o for o in Rank if o < rank or (is_last and o == rank)]
+                arrivals = self._rate.estimate_arrivals(ahead, optimism=1.0)
+                free[rank, is_last] = rate - arrivals
+        return free
+
+    def _find_surplus(self, parts, refusals, now):
+        """Return the waiters that would be served more often than more urgent ones."""
+        refused = {waiter for waiter, _ in refusals}
+        found = []
+        for rank in list(Rank)[1:]:
+            waiting = self.queue.count_by_rank(rank) - sum(
+                waiter.rank == rank for waiter in refused
+            )
+            surplus = self._shares.count_surplus(rank, waiting, now) if waiting else 0
+            if not surplus:
+                continue
+            last = [
+                waiter
+                for part in parts
+                for waiter in part
+                if waiter.rank == rank and waiter not in refused
+            ]
+            for place, waiter in list(enumerate(last))[-surplus:]:
+                refusal = self._make_refusal(
+                    QueueRule.RANK, waiter, place, self.queue.sum_work(rank), now
+                )
+                found.append((waiter, refusal))
+        return found
+
+    def _make_refusal(self, rule, waiter, place, work_before, now):
+        known = self._rate.is_known()
+        wait = None
+        if rule is QueueRule.HOPELESS:
+            wait = self._estimate_wait(waiter.rank)
+        if wait is None:
+            # Nothing tells when a shortage ends; on average it lasts as long again.
+            wait = self._shares.compute_shortage_age(now)
+        wait *= self._random.uniform(*_RETRY_SPREAD)
+        return QueueRefusal(
+            rule,
+            place,
+            work_before,
+            self._rate.estimate() if known else None,
+            waiter.until - now,
+            max(_MIN_RETRY_SECONDS, min(_MAX_RETRY_SECONDS, wait)),
+        )
+
+    def _estimate_wait(self, rank):
+        """Return the time until a new request of a rank starts, or None."""
+        more_urgent = [other for other in Rank if other < rank]
+        arrivals = self._rate.estimate_arrivals(more_urgent)
+        free = self._rate.estimate() - arrivals
+        return self.queue.sum_work(rank) / free if free > 0.0 else None
+
+
+def _divide(work, rate):
+    if not work:
+        return 0.0
+    return work / rate if rate > 0.0 else float("inf")
+
+
+def make_queue_control(policy, averages):
+    """Return the control of an empty queue by the name of a policy.
+
+    Parameters
+    ----------
+    policy : str
+        A name in `queue_policies`.
+    averages : RouteAverages
+
+    Raises
+    ------
+    SettingsError
+        If there is no such policy.
+    """
+    return queue_policies.get(policy)(averages)
--- a/kumquatsaddle/balance/pool.py
+++ b/kumquatsaddle/balance/pool.py
@@ -1,5 +1,7 @@
 """The backend servers of one service at one instance, and its queue of requests."""
 
+from itertools import chain
+
 import trio
 
 from kumquatsaddle.balance.budget import SlidingRetryBudget
@@ -11,9 +13,15 @@
 )
 from kumquatsaddle.balance.departures import Departures
 from kumquatsaddle.balance.drain_rate import DrainRate
+from kumquatsaddle.balance.overload import make_queue_control
+from kumquatsaddle.balance.queue_report import QueueReport
 from kumquatsaddle.balance.servers import BalancedServer
 from kumquatsaddle.dispatch.rate_limits import merge_delays
-from kumquatsaddle.exceptions import BackendsPausedError, RateLimitedError
+from kumquatsaddle.exceptions import (
+    BackendsPausedError,
+    QueueRefusedError,
+    RateLimitedError,
+)
 
 __all__ = ["BalancedPool"]
 
@@ -33,24 +41,9 @@
 _SHORT_PAUSE_SECONDS = 0.5
 # Shortest time between counts of the servers in use while no request is sent.
 _USE_COUNT_INTERVAL_SECONDS = 0.1
-
-
-class _Waiter:
-    __slots__ = ("request", "excluded", "until", "event", "server", "retry_after")
-
-    def __init__(self, request, excluded, until):
-        self.request = request
-        self.excluded = excluded
-        self.until = until
-        self.event = trio.Event()
-        self.server = None
-        self.retry_after = None
-
-    @property
-    def selection_key(self):
-        """What decides, apart from the time waited, which servers it accepts."""
-        request = self.request
-        return request.rank, request.idempotent, request.attempts_left, self.excluded
+# With more waiting requests than this, the queue is searched for those to refuse only
+# at each pass over it, not at each arrival.
+_MAX_WAITING_SEARCHED_AT_ARRIVAL = 50
 
 
 class BalancedPool:
@@ -65,6 +58,11 @@
     averages : RouteAverages
     departures : Departures, optional
         Servers that have said that they leave.
+    policy : str, default="deadline"
+        Setting ``[queue] policy``; a name in `queue_policies`.
+    metrics : Metrics, optional
+    service : ServiceName, optional
+        Label of the metrics.
 
     Attributes
     ----------
@@ -72,7 +70,17 @@
         Zones without an instance, whose servers are explored from this zone.
     """
 
-    def __init__(self, zone, protocol, retry_limits, averages, departures=None):
+    def __init__(
+        self,
+        zone,
+        protocol,
+        retry_limits,
+        averages,
+        departures=None,
+        policy="deadline",
+        metrics=None,
+        service="",
+    ):
         self.servers = {}
         self.unattended = frozenset()
         self.budget = SlidingRetryBudget(retry_limits)
@@ -80,7 +88,10 @@
         self._protocol = protocol
         self._averages = averages
         self._departures = departures or Departures()
-        self._waiters = []
+        self._control = make_queue_control(policy, averages)
+        self._waiters = self._control.queue
+        self._report = QueueReport(metrics, service)
+        self._refusals_sought_at = float("-inf")
         self._drain_rate = DrainRate()
         self._assigned_at = float("-inf")
         self._local_first = ()
@@ -141,6 +152,8 @@
             soon as this is known.
         BackendsPausedError
             If all servers have asked for a pause; it tells when the first one ends.
+        QueueRefusedError
+            If it is refused under scarcity.
         """
         if not any(
             server.is_in_service() and name not in excluded
@@ -148,27 +161,44 @@
         ):
             return None
         self._raise_if_paused(request, excluded)
+        if not excluded:
+            self._count_arrival(request)
         server = None
-        if not self._must_queue(request):
+        if not self._waiters.is_waiting_before(request.rank):
             server = self._choose(request, excluded)
-        if server is None:
-            waiter = _Waiter(request, excluded, until)
-            if not self._waiters:
-                self._drain_rate.restart(trio.current_time())
-            self._waiters.append(waiter)
-            # By rank, the most urgent first; within a rank by deadline.
-            self._waiters.sort(key=_compute_queue_order)
-            self._refuse_limited()
-            try:
-                await self._wait(waiter, until)
-            finally:
-                if waiter in self._waiters:
-                    self._waiters.remove(waiter)
-            server = waiter.server
-            if server is None:
-                self._raise_if_paused(request, excluded)
-                self._raise_if_limited(waiter)
-        return server
+        return server or await self._wait_for_server(request, excluded, until)
+
+    def _count_arrival(self, request):
+        """Count a request that was not sent yet; raise if it must not be now."""
+        now = trio.current_time()
+        self._control.record_arrival(request, now)
+        refusal = self._control.check_arrival(request, now)
+        if refusal is not None:
+            self._control.record_loss(request, now)
+            self._report.add_refusal(request, refusal, now)
+            raise QueueRefusedError(refusal, request.service)
+
+    async def _wait_for_server(self, request, excluded, until):
+        now = trio.current_time()
+        waiter = self._control.make_waiter(request, excluded, until, trio.Event(), now)
+        if not self._waiters:
+            self._drain_rate.restart(now)
+        self._waiters.add(waiter)
+        self._refuse_limited()
+        if len(self._waiters) <= _MAX_WAITING_SEARCHED_AT_ARRIVAL:
+            self._refuse_scarce()
+        try:
+            await self._wait(waiter, until)
+        finally:
+            if waiter in self._waiters:
+                self._waiters.remove(waiter)
+        if waiter.server is None:
+            self._raise_if_paused(request, excluded)
+            self._raise_if_refused(waiter)
+            self._raise_if_limited(waiter)
+            if trio.current_time() >= until and self._is_short_of_slots():
+                self._control.record_loss(request, trio.current_time())
+        return waiter.server
 
     def release(self, server, request):
         """Remove a completed request from the load of its server."""
@@ -182,16 +212,37 @@
         skipped: a choice for each of them, at each change, would take all of the
         processor time while many wait.
         """
-        self._assigned_at = trio.current_time()
+        now = self._assigned_at = trio.current_time()
         if all(server.leaving or server.gone for server in self.servers.values()):
             self.refuse_waiting()
+        if not self._waiters:
+            return
+        self._release_paused()
+        self._assign_in_order(now)
+        if self._waiters:
+            self._refuse_limited()
+        if now - self._refusals_sought_at >= _QUEUE_CHECK_INTERVAL_SECONDS:
+            self._refuse_scarce()
+
+    def _release_paused(self):
+        """Let go of the requests for which all servers are paused."""
+        paused = {
+            excluded
+            for excluded in {key[-1] for key in self._waiters.list_selection_keys()}
+            if self.compute_pause(excluded) is not None
+        }
+        if paused:
+            for waiter in self._waiters.list_waiting():
+                if waiter.excluded in paused:
+                    self._waiters.remove(waiter)
+                    waiter.event.set()
+
+    def _assign_in_order(self, now):
         blocked = set()
-        for waiter in list(self._waiters):
-            if self.compute_pause(waiter.excluded) is not None:
-                self._waiters.remove(waiter)
-                waiter.event.set()
-                continue
-            if waiter.selection_key in blocked:
+        for waiter in chain.from_iterable(map(tuple, self._control.list_parts(now))):
+            if len(blocked) == self._waiters.count_selection_keys():
+                return
+            if waiter.selection_key in blocked or waiter not in self._waiters:
                 continue
             server = self._choose(waiter.request, waiter.excluded)
             if server is None:
@@ -200,14 +251,41 @@
                 self._waiters.remove(waiter)
                 waiter.server = server
                 waiter.event.set()
-        if self._waiters:
-            self._refuse_limited()
+
+    def _refuse_scarce(self):
+        """Refuse the waiting requests that cost least, if there are too many."""
+        now = self._refusals_sought_at = trio.current_time()
+        self._report.update(self._control, now)
+        if not self._waiters or not self._is_short_of_slots():
+            return
+        for waiter, refusal in self._control.find_refusals(now):
+            self._waiters.remove(waiter)
+            waiter.refusal = refusal
+            waiter.event.set()
+            self._control.record_loss(waiter.request, now)
+            self._report.add_refusal(waiter.request, refusal, now)
+
+    def _is_short_of_slots(self):
+        """Return whether no server that may be used has a free slot.
+
+        If one has, requests wait for evidence that it is healthy, not for slots.
+        """
+        now = trio.current_time()
+        return not any(
+            server.in_flight < server.record.slots and server.is_available(now)
+            for server in self.servers.values()
+        )
+
+    def _raise_if_refused(self, waiter):
+        """Raise `QueueRefusedError` if a request was refused under scarcity."""
+        if waiter.refusal is not None:
+            raise QueueRefusedError(waiter.refusal, waiter.request.service)
 
     def refuse_waiting(self):
         """Let the waiting requests go without a server."""
-        for waiter in self._waiters:
+        for waiter in self._waiters.list_waiting():
+            self._waiters.remove(waiter)
             waiter.event.set()
-        self._waiters.clear()
 
     def compute_pause(self, excluded=frozenset()):
         """Return the time until the first paused server may be used, in seconds.
@@ -243,7 +321,7 @@
             return
         delay = next(delays, None)
         latest_check = trio.current_time() + _QUEUE_CHECK_INTERVAL_SECONDS
-        for waiter in list(self._waiters):
+        for waiter in self._waiters.list_in_order(trio.current_time()):
             if delay is not None and latest_check + delay <= waiter.until:
                 delay = next(delays, None)
                 continue
@@ -351,10 +429,6 @@
                     waiter.server = None
                 raise
 
-    def _must_queue(self, request):
-        """Return whether a request of the same or a more urgent rank already waits."""
-        return any(item.request.rank <= request.rank for item in self._waiters)
-
     def _choose(self, request, excluded):
         now = trio.current_time()
         server = choose_server(
@@ -372,14 +446,11 @@
         server.begin(id(request), now, self._averages.estimate_seconds(request.route))
         if self._waiters:
             self._drain_rate.add_start(now)
+        self._control.record_start(request, now)
         self._use_counted_at = float("-inf")
         return server
 
 
-def _compute_queue_order(waiter):
-    return waiter.request.rank, waiter.request.deadline
-
-
 def _is_replaced(record, known):
     """Return whether the incarnation, address or service of a server has changed."""
     return (record.started_at_ms, record.address, record.service) != (
--- a/kumquatsaddle/balance/requests.py
+++ b/kumquatsaddle/balance/requests.py
@@ -35,6 +35,8 @@
         Expected size of the bodies of the request and its answer together.
     account : ClientAccount or None
         Of the caller; None on a public route and where there are no accounts.
+    is_excess : bool
+        Whether it is beyond the usual load of its account at this instance.
     """
 
     request_id: bytes
@@ -49,6 +51,7 @@
     attempts_left: int = 1
     kilobytes: float = 0.0
     account: ClientAccount | None = None
+    is_excess: bool = False
     _digest: RequestDigest | None = None
 
     @property
--- a/kumquatsaddle/exceptions.py
+++ b/kumquatsaddle/exceptions.py
@@ -20,6 +20,7 @@
     "RefusedError",
     "RateLimitedError",
     "BackendsPausedError",
+    "QueueRefusedError",
     "OutcomeUnknownError",
 ]
 
@@ -153,6 +154,20 @@
         super().__init__(RefusalReason.BACKEND_PAUSED, detail, retry_after)
 
 
+class QueueRefusedError(RefusedError):
+    """A waiting request was refused under scarcity.
+
+    Parameters
+    ----------
+    refusal : QueueRefusal
+        What decided it.
+    """
+
+    def __init__(self, refusal, detail=""):
+        super().__init__(RefusalReason.QUEUE_FULL, detail, refusal.retry_after)
+        self.refusal = refusal
+
+
 class OutcomeUnknownError(KumquatsaddleError):
     """A request may have run; its answer is lost.
 
--- a/kumquatsaddle/lifecycle/routed_node.py
+++ b/kumquatsaddle/lifecycle/routed_node.py
@@ -120,6 +120,7 @@
             settings.get("repeats", "share"),
             settings.get("repeats", "allowance"),
             settings.get("repeats", "window"),
+            settings.get("queue", "policy"),
         )
         self.dispatcher.retry_limits.instances = _INITIAL_INSTANCE_COUNT
         apply_answer_limits(self.dispatcher, settings)
--- a/kumquatsaddle/settings/fields.py
+++ b/kumquatsaddle/settings/fields.py
@@ -328,6 +328,15 @@
         live=True,
         doc="Time in which repeats are counted.",
     ),
+    Field(
+        "queue",
+        "policy",
+        "choice",
+        "deadline",
+        choices=("deadline", "value"),
+        doc="Order of waiting requests. value: what is worth most first, and refused "
+        "at once what cannot be served in time.",
+    ),
     Field(
         "stop", "notice", "number", 3.0, 0.0, 60.0, "s", doc="Listening after SIGTERM."
     ),
