--- a/kumquatsaddle/balance/overload.py
+++ b/kumquatsaddle/balance/overload.py
@@ -7,7 +7,7 @@
 
 from dataclasses import dataclass
 from enum import Enum
-from math import ceil, exp, sqrt
+from math import ceil, exp, log, sqrt
 from random import Random
 
 from kumquatsaddle.balance.account_profiles import AccountProfiles
@@ -37,20 +37,22 @@
 _RATE_IDLE_SECONDS = 30.0
 # Time with waiting requests before the rate is used.
 _MIN_BUSY_SECONDS = 1.0
+# Time over which the usual arrivals are counted.
+_USUAL_SECONDS = 60.0
+# A shortage counts as ended after this time without a waiting request.
+_BUSY_GAP_SECONDS = 1.0
 # Work of a request assumed where no start was seen.
 _DEFAULT_WORK_SECONDS = 0.2
 # Time over which the served share of each rank is counted: at least a burst.
 _SHARE_SECONDS = 10.0
 # Losses of a more urgent rank, over that time, below which nothing follows from them.
-_MIN_LOSSES = 1.5
+_MIN_LOSSES = 0.5
 # Part of the starts that go before a waiting less urgent rank and give it one start.
 _FLOOR_SHARE = 0.05
 _MAX_FLOOR_CREDIT = 1.0
 # A rank gets its floor while its served share is below this part of that of each more
 # urgent rank, which must not be served less often.
 _FLOOR_RATIO = 0.5
-# A shortage counts as ended after this time without a loss.
-_SHORTAGE_GAP_SECONDS = 2.0
 _MIN_RETRY_SECONDS, _MAX_RETRY_SECONDS = 0.1, 10.0
 # Range of the random factor of a Retry-After, which spreads the returning requests.
 _RETRY_SPREAD = (0.8, 1.3)
@@ -102,6 +104,10 @@
         self._started_work = 0.0
         self._arrivals = dict.fromkeys(Rank, 0.0)
         self._arrived_work = dict.fromkeys(Rank, 0.0)
+        self._usual_seconds = 0.0
+        self._usual_work = dict.fromkeys(Rank, 0.0)
+        self._busy_since = None
+        self._idle_seconds = 0.0
 
     def advance(self, now, is_busy):
         """Count the time until `now`, in which requests waited or not."""
@@ -115,21 +121,38 @@
         self._busy_seconds *= kept
         if is_busy:
             self._busy_seconds += (1.0 - kept) * _RATE_SECONDS
+            self._idle_seconds = 0.0
+            if self._busy_since is None:
+                self._busy_since = now - elapsed
+        else:
+            self._idle_seconds += elapsed
+            if self._idle_seconds >= _BUSY_GAP_SECONDS:
+                self._busy_since = None
         self._starts *= kept
         self._started_work *= kept
+        usual_kept = exp(-elapsed / _USUAL_SECONDS)
+        self._usual_seconds *= usual_kept
+        self._usual_seconds += (1.0 - usual_kept) * _USUAL_SECONDS
         for rank in Rank:
             self._arrivals[rank] *= kept
             self._arrived_work[rank] *= kept
+            self._usual_work[rank] *= usual_kept
 
     def add_start(self, work):
         """Count a request that started while others waited."""
         self._starts += 1.0
         self._started_work += work
 
-    def add_arrival(self, rank, work):
-        """Count a request that arrived while others waited."""
-        self._arrivals[rank] += 1.0
-        self._arrived_work[rank] += work
+    def add_arrival(self, rank, work, is_busy):
+        """Count a request that arrived while others waited or not."""
+        self._usual_work[rank] += work
+        if is_busy:
+            self._arrivals[rank] += 1.0
+            self._arrived_work[rank] += work
+
+    def compute_busy_age(self, now):
+        """Return for how long requests have waited without a pause, in seconds."""
+        return 0.0 if self._busy_since is None else now - self._busy_since
 
     def is_known(self):
         """Return whether requests have waited for long enough."""
@@ -164,6 +187,11 @@
         work = sum(self._arrived_work[rank] for rank in ranks)
         return max(0.0, 1.0 - optimism / sqrt(count)) * work / self._busy_seconds
 
+    def estimate_usual_arrivals(self, ranks):
+        """Return the work of some ranks that usually arrives in a second."""
+        work = sum(self._usual_work[rank] for rank in ranks)
+        return work / max(self._usual_seconds, 1.0)
+
 
 class RankShares:
     """The share of the requests of each rank that started, of those that ended here."""
@@ -172,8 +200,6 @@
         self._updated_at = None
         self._started = dict.fromkeys(Rank, 0.0)
         self._lost = dict.fromkeys(Rank, 0.0)
-        self._lost_at = float("-inf")
-        self._short_since = float("-inf")
 
     def add_start(self, rank, now):
         """Count a request that started."""
@@ -184,13 +210,12 @@
         """Count a request that was refused for want of a slot."""
         self._advance(now)
         self._lost[rank] += 1.0
-        if now - self._lost_at > _SHORTAGE_GAP_SECONDS:
-            self._short_since = now
-        self._lost_at = now
 
-    def compute_shortage_age(self, now):
-        """Return for how long requests have been refused, in seconds."""
-        return now - self._short_since if now - self._lost_at < _SHARE_SECONDS else 0.0
+    def compute_recovery(self, rank, now):
+        """Return the time until no more urgent rank counts as losing, in seconds."""
+        self._advance(now)
+        lost = max((self._lost[other] for other in Rank if other < rank), default=0.0)
+        return _SHARE_SECONDS * log(max(1.0, lost / _MIN_LOSSES))
 
     def compute_share(self, rank, now):
         """Return the started share of a rank, 0 to 1; 1 without losses."""
@@ -225,6 +250,37 @@
         self._updated_at = now
 
 
+@dataclass(frozen=True, slots=True)
+class _Forecast:
+    """When the work before a request will have started.
+
+    Nothing tells when a shortage ends. The present arrivals are expected to last for as
+    long again as the shortage has lasted, and the usual ones after that.
+
+    Parameters
+    ----------
+    free_rate, later_free_rate : float
+        Slot rate less the arrivals that go first, in the shortage and after it.
+    horizon : float
+        Time until the shortage ends, in seconds.
+    """
+
+    free_rate: float
+    later_free_rate: float
+    horizon: float
+
+    def estimate(self, work):
+        """Return the time until `work` seconds have started, in seconds."""
+        if not work:
+            return 0.0
+        left = work - self.free_rate * self.horizon
+        if left <= 0.0:
+            return work / self.free_rate
+        if self.later_free_rate <= 0.0:
+            return float("inf")
+        return self.horizon + left / self.later_free_rate
+
+
 @queue_policies.register("deadline")
 class DeadlineControl:
     """Order by rank and deadline; a request waits until its latest start.
@@ -315,9 +371,8 @@
             name = request.account.name
             request.is_excess = self._profiles.add_arrival(name, now)
         self._rate.advance(now, bool(self.queue))
-        if self.queue:
-            work = self._averages.estimate_seconds(request.route)
-            self._rate.add_arrival(request.rank, work)
+        work = self._averages.estimate_seconds(request.route)
+        self._rate.add_arrival(request.rank, work, bool(self.queue))
 
     def check_arrival(self, request, now):
         """Return the `QueueRefusal` of a request that must not start at once, or None.
@@ -386,14 +441,14 @@
 
     def _find_hopeless(self, parts, now):
         refusals, place, work_before = [], 0, 0.0
-        rates = self._compute_free_rates()
+        forecasts = self._make_forecasts(now)
         for part in parts:
             for waiter in part:
                 is_last = waiter.is_excess or waiter.objective_start < now
-                wait = _divide(work_before, rates[waiter.rank, is_last])
+                wait = forecasts[waiter.rank, is_last].estimate(work_before)
                 if not is_last and now + wait > waiter.objective_start:
                     # It will be late, and then newer requests go before it.
-                    wait = _divide(work_before, rates[waiter.rank, True])
+                    wait = forecasts[waiter.rank, True].estimate(work_before)
                 if now + wait <= waiter.until:
                     place += 1
                     work_before += waiter.work
@@ -404,24 +459,28 @@
                 refusals.append((waiter, refusal))
         return refusals
 
-    def _compute_free_rates(self):
-        """Return what newer requests that go first leave of the slot rate.
+    def _make_forecasts(self, now):
+        """Return the forecasts by rank and whether newer requests of it go first.
+
+        They err so that chance refuses little: by a standard deviation more starts and
+        fewer arrivals.
 
         Returns
         -------
-        dict of (Rank, bool) to float
-            By rank and whether newer requests of the same rank go first. Estimated so
-            that chance refuses little: a standard deviation more starts and fewer
-            arrivals.
+        dict of (Rank, bool) to _Forecast
         """
         rate = self._rate.estimate(optimism=1.0)
-        free = {}
+        horizon = self._rate.compute_busy_age(now)
+        forecasts = {}
         for rank in Rank:
             for is_last in (False, True):
                 ahead = [o for o in Rank if o < rank or (is_last and o == rank)]
                 arrivals = self._rate.estimate_arrivals(ahead, optimism=1.0)
-                free[rank, is_last] = rate - arrivals
-        return free
+                usual = min(arrivals, self._rate.estimate_usual_arrivals(ahead))
+                forecasts[rank, is_last] = _Forecast(
+                    rate - arrivals, rate - usual, horizon
+                )
+        return forecasts
 
     def _find_surplus(self, parts, refusals, now):
         """Return the waiters that would be served more often than more urgent ones."""
@@ -449,12 +508,12 @@
 
     def _make_refusal(self, rule, waiter, place, work_before, now):
         known = self._rate.is_known()
-        wait = None
-        if rule is QueueRule.HOPELESS:
+        if rule is QueueRule.RANK:
+            wait = self._shares.compute_recovery(waiter.rank, now)
+        else:
             wait = self._estimate_wait(waiter.rank)
-        if wait is None:
-            # Nothing tells when a shortage ends; on average it lasts as long again.
-            wait = self._shares.compute_shortage_age(now)
+            if wait is None:
+                wait = self._rate.compute_busy_age(now)
         wait *= self._random.uniform(*_RETRY_SPREAD)
         return QueueRefusal(
             rule,
@@ -473,12 +532,6 @@
         return self.queue.sum_work(rank) / free if free > 0.0 else None
 
 
-def _divide(work, rate):
-    if not work:
-        return 0.0
-    return work / rate if rate > 0.0 else float("inf")
-
-
 def make_queue_control(policy, averages):
     """Return the control of an empty queue by the name of a policy.
 
