Split the modules of the queue and of the dispatcher

Change: exploration, slot rate, rank shares, acquisition and results are modules of their own; the setting [queue] policy names an entry of one registry.

--- a/kumquatsaddle/balance/account_profiles.py
+++ b/kumquatsaddle/balance/account_profiles.py
@@ -67,7 +67,7 @@
     def __len__(self):
         return len(self._rates)
 
-    def add_arrival(self, name, now):
+    def add_arrival(self, name, now, is_repeated=False):
         """Count a request; return whether it is beyond the usual load of its account.
 
         Parameters
@@ -75,11 +75,13 @@
         name : AccountId
         now : float
             In seconds.
+        is_repeated : bool, default=False
+            Whether the caller sent it before. Such requests use up what is allowed but
+            do not raise it: otherwise an account would get more by retrying more often.
         """
         if self._total is None:
             self._total = _Rates(now)
         self._total.advance(now)
-        self._total.add()
         rates = self._rates.get(name)
         if rates is None:
             rates = self._rates[name] = _Rates(now)
@@ -90,7 +92,9 @@
         allowed = self._compute_allowed_rate(rates)
         burst = _BURST_REQUESTS + _BURST_SECONDS * allowed
         rates.tokens = min(burst, rates.tokens + elapsed * allowed)
-        rates.add()
+        if not is_repeated:
+            self._total.add()
+            rates.add()
         # Without a usual load nothing can be beyond it.
         is_known = self._total.known_seconds >= _USUAL_SECONDS / 4
         if rates.tokens < 1.0 and is_known:
--- a/kumquatsaddle/balance/choice.py
+++ b/kumquatsaddle/balance/choice.py
@@ -14,6 +14,7 @@
     "NO_EXPLORATION",
     "choose_server",
     "compute_cost",
+    "has_free_slot",
     "is_explorable",
 ]
 
@@ -222,6 +223,21 @@
     return best
 
 
+def has_free_slot(servers, now):
+    """Return whether a server that may be used has a free slot, however it is doubted.
+
+    Parameters
+    ----------
+    servers : iterable of BalancedServer
+    now : float
+        On the clock of trio, in seconds.
+    """
+    return any(
+        server.in_flight < server.record.slots and server.is_available(now)
+        for server in servers
+    )
+
+
 def _compute_elapsed_share(request, now):
     """Return the share of the time from arrival to deadline that has passed."""
     return (now - request.arrived) / max(request.deadline - request.arrived, 0.001)
--- a/kumquatsaddle/balance/dispatcher.py
+++ b/kumquatsaddle/balance/dispatcher.py
@@ -9,6 +9,7 @@
 
 import trio
 
+from kumquatsaddle.balance.acquisition import ServerAcquisition
 from kumquatsaddle.balance.announcements import apply_announcements
 from kumquatsaddle.balance.attempts import (
     NOT_RUN_OUTCOMES,
@@ -22,6 +23,7 @@
 from kumquatsaddle.balance.departures import Departures
 from kumquatsaddle.balance.end_records import EndRecords
 from kumquatsaddle.balance.pool import BalancedPool
+from kumquatsaddle.balance.results import record_result
 from kumquatsaddle.dispatch.answers import AnswerMemory
 from kumquatsaddle.dispatch.rate_limits import WHOLE_RATE
 from kumquatsaddle.dispatch.retries import choose_answer
@@ -35,13 +37,6 @@
 
 # Shortest time in which a server can answer; a request is not retried with less left.
 _MIN_ATTEMPT_SECONDS = 0.02
-# Share of the expected response time that has to be left when a request is sent.
-_MIN_REMAINING_SHARE = 0.8
-# Time for which a server that shed a request gets no other one.
-_SHED_PAUSE_SECONDS = 0.15
-# A request is started in a planned stop only if this many times its expected response
-# time is left.
-_STOP_DURATION_FACTOR = 2.0
 # Refusals that may come from the pauses of all servers.
 _PAUSE_REASONS = (RefusalReason.BACKEND_SHED, RefusalReason.NO_BACKEND)
 
@@ -105,9 +100,12 @@
         self._zone = zone
         self._queue_policy = queue_policy
         self._unattended = frozenset()
-        self._start_limit = StartLimit()
         self._departures = Departures()
         self.end_records = EndRecords(metrics)
+        self._start_limit = StartLimit()
+        self._acquisition = ServerAcquisition(
+            self._start_limit, self.end_records, self.averages
+        )
 
     async def update_servers(self, records):
         """Replace the list of backend servers and close those no longer in it.
@@ -236,7 +234,7 @@
                 break
             request.attempts_left = self._count_retries_left(pool, request, sent)
             try:
-                server = await self._acquire_server(pool, request, excluded)
+                server = await self._acquisition.acquire(pool, request, excluded)
             except RefusedError as error:
                 answer = answer or Answer.from_reason(
                     error.reason, retry_after=error.retry_after
@@ -272,10 +270,6 @@
         for pool in self.pools.values():
             pool.refuse_waiting()
 
-    def _compute_stop_duration(self, request):
-        """Return the time that a request has to have until the end of the process."""
-        return _STOP_DURATION_FACTOR * self.averages.estimate_seconds(request.route)
-
     def _get_or_create_pool(self, service):
         pool = self.pools.get(service)
         if pool is None:
@@ -314,40 +308,6 @@
         self.metrics.count("retries_denied", reason=RETRY_REASONS[outcome].value)
         return False
 
-    async def _acquire_server(self, pool, request, excluded):
-        """Return a server with the request added to its load.
-
-        Raises
-        ------
-        RefusedError
-            If the request gets no server or must not be sent.
-        """
-        self._check_start(request)
-        duration = self._compute_stop_duration(request)
-        expected = self.averages.estimate_seconds(request.route)
-        until = min(
-            request.deadline - _MIN_REMAINING_SHARE * expected,
-            self._start_limit.compute_latest_start(duration),
-        )
-        server = await pool.acquire_server(request, excluded, until)
-        try:
-            # Both may have changed while the request waited.
-            self._check_start(request)
-        except RefusedError:
-            if server is not None:
-                pool.release(server, request)
-            raise
-        if server is None:
-            raise RefusedError(RefusalReason.NO_BACKEND, request.service)
-        return server
-
-    def _check_start(self, request):
-        """Raise `RefusedError` if a request must not be sent now."""
-        if not self._start_limit.allows(self._compute_stop_duration(request)):
-            raise RefusedError(RefusalReason.STOPPING)
-        if self.end_records.is_blocked(request):
-            raise RefusedError(RefusalReason.FATAL_REQUEST)
-
     async def _attempt(self, pool, server, request, attempt_summaries):
         started_at = trio.current_time()
         self.on_load_changed(server)
@@ -376,35 +336,10 @@
                 f":sick={fault_probability:.2f}:load={in_flight}"
                 f"{'' if limit is None else f':limit={limit:g}'}"
             )
-        self._record_result(pool, server, request, attempt, started_at)
+        record_result(self, pool, server, request, attempt, started_at)
         await self.end_records.observe(server, request, attempt, started_at)
         return attempt
 
-    def _record_result(self, pool, server, request, attempt, started_at):
-        """Update the evidence on a server and the averages of its route."""
-        now, outcome = trio.current_time(), attempt.outcome
-        expected = self.averages.estimate_seconds(request.route)
-        if outcome is AttemptOutcome.UNREACHABLE:
-            server.mark_unreachable(now)
-        elif outcome is AttemptOutcome.SHED:
-            server.mark_full(now, _SHED_PAUSE_SECONDS)
-        elif outcome is AttemptOutcome.MISDIRECTED:
-            server.gone = True
-        elif outcome is AttemptOutcome.WITHDRAWN or attempt.asks_for_pause:
-            # Neither is evidence of a fault.
-            return
-        elif outcome in (AttemptOutcome.LATE, AttemptOutcome.TIMED_OUT):
-            server.add_slowdown(now, (now - started_at) / expected)
-        else:
-            failed = outcome is not AttemptOutcome.SERVED
-            observation = server.observe_answer(now, started_at, expected, failed)
-            if not failed:
-                server.add_slowdown(now, (now - started_at) / expected)
-                self.averages.add_seconds(request.route, now - started_at)
-                self.averages.add_bytes(request.route, len(attempt.answer.body))
-            self.on_answer(server, observation)
-            pool.assign_waiting()
-
     def _log_request(self, request, pool, attempt_summaries, answer):
         now = trio.current_time()
         served = answer.outcome is Outcome.DONE and answer.status < 500
--- a/kumquatsaddle/balance/overload.py
+++ b/kumquatsaddle/balance/overload.py
@@ -7,11 +7,17 @@
 
 from dataclasses import dataclass
 from enum import Enum
-from math import ceil, exp, log, sqrt
 from random import Random
 
 from kumquatsaddle.balance.account_profiles import AccountProfiles
-from kumquatsaddle.balance.waiting import Waiter, make_waiting_requests
+from kumquatsaddle.balance.rank_shares import RankShares
+from kumquatsaddle.balance.slot_rate import SlotRate
+from kumquatsaddle.balance.waiting import (
+    DeadlineOrder,
+    ValueOrder,
+    Waiter,
+    WaitingRequests,
+)
 from kumquatsaddle.registries import Registry
 from kumquatsaddle.types import Rank
 
@@ -19,8 +25,6 @@
     "DeadlineControl",
     "QueueRefusal",
     "QueueRule",
-    "RankShares",
-    "SlotRate",
     "ValueControl",
     "make_queue_control",
     "queue_policies",
@@ -31,28 +35,15 @@
 # Share of the requests of a route that is answered within the time that the order
 # assumes for it.
 _WORK_QUANTILE = 0.8
-# Time over which the slot rate is counted while requests wait. A burst lasts 3 to 6 s.
-_RATE_SECONDS = 4.0
-# The rate is forgotten over this time without waiting requests: servers come and go.
-_RATE_IDLE_SECONDS = 30.0
-# Time with waiting requests before the rate is used.
-_MIN_BUSY_SECONDS = 1.0
-# Time over which the usual arrivals are counted.
-_USUAL_SECONDS = 60.0
-# A shortage counts as ended after this time without a waiting request.
-_BUSY_GAP_SECONDS = 1.0
-# Work of a request assumed where no start was seen.
-_DEFAULT_WORK_SECONDS = 0.2
-# Time over which the served share of each rank is counted: at least a burst.
-_SHARE_SECONDS = 10.0
-# Losses of a more urgent rank, over that time, below which nothing follows from them.
-_MIN_LOSSES = 0.5
 # Part of the starts that go before a waiting less urgent rank and give it one start.
 _FLOOR_SHARE = 0.05
 _MAX_FLOOR_CREDIT = 1.0
 # A rank gets its floor while its served share is below this part of that of each more
 # urgent rank, which must not be served less often.
 _FLOOR_RATIO = 0.5
+# A request arrives with the whole timeout of its route less the time on the way, unless
+# its caller has sent it before.
+_REPEATED_SECONDS = 0.1
 _MIN_RETRY_SECONDS, _MAX_RETRY_SECONDS = 0.1, 10.0
 # Range of the random factor of a Retry-After, which spreads the returning requests.
 _RETRY_SPREAD = (0.8, 1.3)
@@ -94,162 +85,6 @@
     retry_after: float
 
 
-class SlotRate:
-    """The work that a queue starts and gets while requests wait, per second."""
-
-    def __init__(self):
-        self._updated_at = None
-        self._busy_seconds = 0.0
-        self._starts = 0.0
-        self._started_work = 0.0
-        self._arrivals = dict.fromkeys(Rank, 0.0)
-        self._arrived_work = dict.fromkeys(Rank, 0.0)
-        self._usual_seconds = 0.0
-        self._usual_work = dict.fromkeys(Rank, 0.0)
-        self._busy_since = None
-        self._idle_seconds = 0.0
-
-    def advance(self, now, is_busy):
-        """Count the time until `now`, in which requests waited or not."""
-        if self._updated_at is None:
-            self._updated_at = now
-        elapsed = now - self._updated_at
-        if elapsed <= 0.0:
-            return
-        self._updated_at = now
-        kept = exp(-elapsed / (_RATE_SECONDS if is_busy else _RATE_IDLE_SECONDS))
-        self._busy_seconds *= kept
-        if is_busy:
-            self._busy_seconds += (1.0 - kept) * _RATE_SECONDS
-            self._idle_seconds = 0.0
-            if self._busy_since is None:
-                self._busy_since = now - elapsed
-        else:
-            self._idle_seconds += elapsed
-            if self._idle_seconds >= _BUSY_GAP_SECONDS:
-                self._busy_since = None
-        self._starts *= kept
-        self._started_work *= kept
-        usual_kept = exp(-elapsed / _USUAL_SECONDS)
-        self._usual_seconds *= usual_kept
-        self._usual_seconds += (1.0 - usual_kept) * _USUAL_SECONDS
-        for rank in Rank:
-            self._arrivals[rank] *= kept
-            self._arrived_work[rank] *= kept
-            self._usual_work[rank] *= usual_kept
-
-    def add_start(self, work):
-        """Count a request that started while others waited."""
-        self._starts += 1.0
-        self._started_work += work
-
-    def add_arrival(self, rank, work, is_busy):
-        """Count a request that arrived while others waited or not."""
-        self._usual_work[rank] += work
-        if is_busy:
-            self._arrivals[rank] += 1.0
-            self._arrived_work[rank] += work
-
-    def compute_busy_age(self, now):
-        """Return for how long requests have waited without a pause, in seconds."""
-        return 0.0 if self._busy_since is None else now - self._busy_since
-
-    def is_known(self):
-        """Return whether requests have waited for long enough."""
-        return self._busy_seconds >= _MIN_BUSY_SECONDS
-
-    def estimate(self, optimism=0.0):
-        """Return the work started in a second, in seconds.
-
-        Parameters
-        ----------
-        optimism : float, default=0.0
-            Standard deviations of the number of starts that are added to it.
-        """
-        starts = self._starts + optimism * (1.0 + sqrt(self._starts))
-        work = _DEFAULT_WORK_SECONDS
-        if self._starts >= 1.0:
-            work = self._started_work / self._starts
-        return starts * work / self._busy_seconds
-
-    def estimate_arrivals(self, ranks, optimism=0.0):
-        """Return the work of some ranks that arrives in a second, in seconds.
-
-        Parameters
-        ----------
-        ranks : iterable of Rank
-        optimism : float, default=0.0
-            Standard deviations of the number of arrivals that are subtracted from it.
-        """
-        count = sum(self._arrivals[rank] for rank in ranks)
-        if not count:
-            return 0.0
-        work = sum(self._arrived_work[rank] for rank in ranks)
-        return max(0.0, 1.0 - optimism / sqrt(count)) * work / self._busy_seconds
-
-    def estimate_usual_arrivals(self, ranks):
-        """Return the work of some ranks that usually arrives in a second."""
-        work = sum(self._usual_work[rank] for rank in ranks)
-        return work / max(self._usual_seconds, 1.0)
-
-
-class RankShares:
-    """The share of the requests of each rank that started, of those that ended here."""
-
-    def __init__(self):
-        self._updated_at = None
-        self._started = dict.fromkeys(Rank, 0.0)
-        self._lost = dict.fromkeys(Rank, 0.0)
-
-    def add_start(self, rank, now):
-        """Count a request that started."""
-        self._advance(now)
-        self._started[rank] += 1.0
-
-    def add_loss(self, rank, now):
-        """Count a request that was refused for want of a slot."""
-        self._advance(now)
-        self._lost[rank] += 1.0
-
-    def compute_recovery(self, rank, now):
-        """Return the time until no more urgent rank counts as losing, in seconds."""
-        self._advance(now)
-        lost = max((self._lost[other] for other in Rank if other < rank), default=0.0)
-        return _SHARE_SECONDS * log(max(1.0, lost / _MIN_LOSSES))
-
-    def compute_share(self, rank, now):
-        """Return the started share of a rank, 0 to 1; 1 without losses."""
-        self._advance(now)
-        lost = self._lost[rank]
-        if lost < _MIN_LOSSES:
-            return 1.0
-        return self._started[rank] / (self._started[rank] + lost)
-
-    def compute_least_share(self, rank, now):
-        """Return the least share of the ranks more urgent than `rank`."""
-        shares = [self.compute_share(other, now) for other in Rank if other < rank]
-        return min(shares, default=1.0)
-
-    def count_surplus(self, rank, waiting, now):
-        """Return how many waiting requests of a rank would be served beyond its share.
-
-        The share is that of the more urgent rank that is served least often.
-        """
-        least = self.compute_least_share(rank, now)
-        if least >= 1.0:
-            return 0
-        served = self._started[rank] + waiting
-        return max(0, ceil(served - least * (served + self._lost[rank]) - 1e-9))
-
-    def _advance(self, now):
-        if self._updated_at is not None and now > self._updated_at:
-            kept = exp((self._updated_at - now) / _SHARE_SECONDS)
-            for values in (self._started, self._lost):
-                for rank in values:
-                    values[rank] *= kept
-        self._updated_at = now
-
-
 @dataclass(frozen=True, slots=True)
 class _Forecast:
     """When the work before a request will have started.
@@ -291,7 +126,7 @@
     """
 
     def __init__(self, averages):
-        self.queue = make_waiting_requests("deadline")
+        self.queue = WaitingRequests(DeadlineOrder())
         self._averages = averages
 
     def make_waiter(self, request, excluded, until, event, now):
@@ -339,7 +174,7 @@
     """
 
     def __init__(self, averages, random=None):
-        self.queue = make_waiting_requests("value")
+        self.queue = WaitingRequests(ValueOrder())
         self._averages = averages
         self._random = random or Random()
         self._rate = SlotRate()
@@ -353,23 +188,23 @@
         usual = self._averages.work.estimate(route, _WORK_QUANTILE)
         if usual is None:
             usual = self._averages.estimate_seconds(route)
-        # A request that was refused before arrives with less than its whole time.
-        first_sent = min(request.arrived, request.deadline - route.timeout)
         return Waiter(
             request,
             excluded,
             until,
             event,
             self._averages.estimate_seconds(route),
-            first_sent + route.objective - usual,
+            _find_first_sent(request) + route.objective - usual,
             request.is_excess,
         )
 
     def record_arrival(self, request, now):
         """Count a request that arrived."""
         if request.account is not None:
-            name = request.account.name
-            request.is_excess = self._profiles.add_arrival(name, now)
+            age = request.arrived - _find_first_sent(request)
+            request.is_excess = self._profiles.add_arrival(
+                request.account.name, now, age > _REPEATED_SECONDS
+            )
         self._rate.advance(now, bool(self.queue))
         work = self._averages.estimate_seconds(request.route)
         self._rate.add_arrival(request.rank, work, bool(self.queue))
@@ -532,6 +367,14 @@
         return self.queue.sum_work(rank) / free if free > 0.0 else None
 
 
+def _find_first_sent(request):
+    """Return when the caller sent a request first, in seconds.
+
+    A request that was refused before arrives with less than the timeout of its route.
+    """
+    return min(request.arrived, request.deadline - request.route.timeout)
+
+
 def make_queue_control(policy, averages):
     """Return the control of an empty queue by the name of a policy.
 
--- a/kumquatsaddle/balance/pool.py
+++ b/kumquatsaddle/balance/pool.py
@@ -5,14 +5,10 @@
 import trio
 
 from kumquatsaddle.balance.budget import SlidingRetryBudget
-from kumquatsaddle.balance.choice import (
-    MAX_EXPLORABLE_FAILURE,
-    NO_EXPLORATION,
-    choose_server,
-    is_explorable,
-)
+from kumquatsaddle.balance.choice import choose_server, has_free_slot
 from kumquatsaddle.balance.departures import Departures
 from kumquatsaddle.balance.drain_rate import DrainRate
+from kumquatsaddle.balance.exploration import Exploration
 from kumquatsaddle.balance.overload import make_queue_control
 from kumquatsaddle.balance.queue_report import QueueReport
 from kumquatsaddle.balance.servers import BalancedServer
@@ -28,19 +24,11 @@
 # Longest time between passes over the queue: a request that has waited longer accepts
 # costlier servers.
 _QUEUE_CHECK_INTERVAL_SECONDS = 0.1
-# Share of the explorable servers of this zone below which the service explores.
-_MIN_USED_SHARE = 0.75
-# Time after a request for which its server counts as in use.
-_USED_WINDOW_SECONDS = 1.7
-# How long only repeatable requests try unused servers, if there are such requests.
-_REPEATABLE_FIRST_SECONDS = 1.0
 # Retry-After for a request that only servers could run which are left to others.
 _OTHER_INSTANCES_RETRY_SECONDS = 1.0
 # A request waits for a server that takes requests again this soon: its caller could
 # not come back earlier.
 _SHORT_PAUSE_SECONDS = 0.5
-# Shortest time between counts of the servers in use while no request is sent.
-_USE_COUNT_INTERVAL_SECONDS = 0.1
 # With more waiting requests than this, the queue is searched for those to refuse only
 # at each pass over it, not at each arrival.
 _MAX_WAITING_SEARCHED_AT_ARRIVAL = 50
@@ -91,14 +79,11 @@
         self._control = make_queue_control(policy, averages)
         self._waiters = self._control.queue
         self._report = QueueReport(metrics, service)
-        self._refusals_sought_at = float("-inf")
+        self._passed_at = float("-inf")
         self._drain_rate = DrainRate()
         self._assigned_at = float("-inf")
         self._local_first = ()
-        self._explores = False
-        self._use_counted_at = float("-inf")
-        self._explores_since = float("-inf")
-        self._repeatable_at = float("-inf")
+        self._exploration = Exploration(self.servers, zone)
 
     def update(self, records):
         """Replace the list of servers; return those that are no longer in it.
@@ -196,8 +181,9 @@
             self._raise_if_paused(request, excluded)
             self._raise_if_refused(waiter)
             self._raise_if_limited(waiter)
-            if trio.current_time() >= until and self._is_short_of_slots():
-                self._control.record_loss(request, trio.current_time())
+            now = trio.current_time()
+            if now >= until and not has_free_slot(self.servers.values(), now):
+                self._control.record_loss(request, now)
         return waiter.server
 
     def release(self, server, request):
@@ -216,13 +202,16 @@
         if all(server.leaving or server.gone for server in self.servers.values()):
             self.refuse_waiting()
         if not self._waiters:
+            self._report.update(self._control, now)
             return
         self._release_paused()
         self._assign_in_order(now)
         if self._waiters:
             self._refuse_limited()
-        if now - self._refusals_sought_at >= _QUEUE_CHECK_INTERVAL_SECONDS:
+        if now - self._passed_at >= _QUEUE_CHECK_INTERVAL_SECONDS:
+            self._passed_at = now
             self._refuse_scarce()
+            self._report.update(self._control, now)
 
     def _release_paused(self):
         """Let go of the requests for which all servers are paused."""
@@ -254,9 +243,9 @@
 
     def _refuse_scarce(self):
         """Refuse the waiting requests that cost least, if there are too many."""
-        now = self._refusals_sought_at = trio.current_time()
-        self._report.update(self._control, now)
-        if not self._waiters or not self._is_short_of_slots():
+        now = trio.current_time()
+        if not self._waiters or has_free_slot(self.servers.values(), now):
+            # With a free slot, requests wait for evidence that its server is healthy.
             return
         for waiter, refusal in self._control.find_refusals(now):
             self._waiters.remove(waiter)
@@ -265,17 +254,6 @@
             self._control.record_loss(waiter.request, now)
             self._report.add_refusal(waiter.request, refusal, now)
 
-    def _is_short_of_slots(self):
-        """Return whether no server that may be used has a free slot.
-
-        If one has, requests wait for evidence that it is healthy, not for slots.
-        """
-        now = trio.current_time()
-        return not any(
-            server.in_flight < server.record.slots and server.is_available(now)
-            for server in self.servers.values()
-        )
-
     def _raise_if_refused(self, waiter):
         """Raise `QueueRefusedError` if a request was refused under scarcity."""
         if waiter.refusal is not None:
@@ -357,51 +335,6 @@
             return delays
         return self._drain_rate.iterate_delays(now)
 
-    def _needs_exploration(self, now):
-        """Return whether servers that are not in use have to be tried.
-
-        A server that recovered counts as faulty until it is tried, so that without
-        exploration too few servers could stay in use for lack of evidence alone.
-        """
-        if now - self._use_counted_at >= _USE_COUNT_INTERVAL_SECONDS:
-            self._use_counted_at = now
-            explored_before = self._explores
-            self._explores = self._has_too_few_in_use(now)
-            if self._explores and not explored_before:
-                self._explores_since = now
-        return self._explores
-
-    def _compute_max_explored_failure(self, request, now):
-        """Return the failure probability up to which a request tries unused servers.
-
-        A server that is tried may still be faulty, which costs a repeatable request
-        only a retry. Where there are such requests, the others leave it to them for a
-        while.
-        """
-        is_repeatable = request.idempotent and request.attempts_left > 0
-        if is_repeatable:
-            self._repeatable_at = now
-        if not self._needs_exploration(now):
-            return NO_EXPLORATION
-        others_wait = (
-            now - self._repeatable_at < _REPEATABLE_FIRST_SECONDS
-            and now - self._explores_since < _REPEATABLE_FIRST_SECONDS
-        )
-        if others_wait and not is_repeatable:
-            return NO_EXPLORATION
-        return MAX_EXPLORABLE_FAILURE
-
-    def _has_too_few_in_use(self, now):
-        usable = [
-            server
-            for server in self.servers.values()
-            if server.record.zone == self._zone
-            and server.is_available(now)
-            and is_explorable(server, now, MAX_EXPLORABLE_FAILURE)
-        ]
-        used = sum(now - server.used_at < _USED_WINDOW_SECONDS for server in usable)
-        return used < _MIN_USED_SHARE * len(usable)
-
     def list_in_service(self):
         """Return the servers that are neither gone, draining nor leaving."""
         return list(filter(BalancedServer.is_in_service, self.servers.values()))
@@ -437,7 +370,7 @@
             now,
             self._zone,
             excluded,
-            max_explored_failure=self._compute_max_explored_failure(request, now),
+            max_explored_failure=self._exploration.compute_max_failure(request, now),
             unattended=self.unattended,
         )
         if server is None:
@@ -447,7 +380,7 @@
         if self._waiters:
             self._drain_rate.add_start(now)
         self._control.record_start(request, now)
-        self._use_counted_at = float("-inf")
+        self._exploration.record_start()
         return server
 
 
--- a/kumquatsaddle/balance/queue_report.py
+++ b/kumquatsaddle/balance/queue_report.py
@@ -60,13 +60,15 @@
 
     def update(self, control, now):
         """Set the gauges of the queue length and the expected wait."""
-        if self._metrics is None:
+        if self._metrics is None or not (control.queue or self._last_counts):
             return
         for rank in Rank:
             count = control.queue.count_by_rank(rank)
-            if not count and not self._last_counts.get(rank):
+            if not count and rank not in self._last_counts:
                 continue
             self._last_counts[rank] = count
+            if not count:
+                del self._last_counts[rank]
             labels = {"service": self._service, "rank": rank.name.lower()}
             self._metrics.set_gauge("queue_length", count, **labels)
             wait = control.estimate_wait(rank, now) if count else 0.0
--- a/kumquatsaddle/balance/waiting.py
+++ b/kumquatsaddle/balance/waiting.py
@@ -2,19 +2,16 @@
 
 Handles up to several hundred waiting requests, looked at on each change of a server: a
 request is added and removed by bisection, and a change that frees no slot looks at one
-request for each selection key. The orders are in the registry `queue_orders`.
+request for each selection key.
 """
 
 from bisect import bisect_left, insort
 from collections import Counter
 from itertools import count
 
-from kumquatsaddle.registries import Registry
 from kumquatsaddle.types import Rank
 
-__all__ = ["Waiter", "make_waiting_requests", "queue_orders"]
-
-queue_orders = Registry("queue policy")
+__all__ = ["DeadlineOrder", "ValueOrder", "Waiter", "WaitingRequests"]
 
 
 class Waiter:
@@ -99,8 +96,7 @@
 
     Parameters
     ----------
-    order : object
-        An entry of `queue_orders`.
+    order : DeadlineOrder or ValueOrder
     """
 
     def __init__(self, order):
@@ -171,7 +167,6 @@
         return list(self._waiters)
 
 
-@queue_orders.register("deadline")
 class DeadlineOrder:
     """By rank, the most urgent first; within a rank by deadline."""
 
@@ -197,7 +192,6 @@
 _PARTS = ((False, False), (False, True), (True, False), (True, True))
 
 
-@queue_orders.register("value")
 class ValueOrder:
     """By rank; within a rank by what a free slot is worth for the request.
 
@@ -235,11 +229,6 @@
         insort(self._parts[name], waiter, key=_get_position)
 
 
-def make_waiting_requests(policy):
-    """Return an empty queue in the order of a policy of `queue_orders`."""
-    return WaitingRequests(queue_orders.get(policy)())
-
-
 def _get_position(waiter):
     return waiter.position
 
