--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -103,7 +103,10 @@
 
 @dataclass
 class Tally:
-    """What the callers of a kind or an account got."""
+    """What the callers of a kind or an account got.
+
+    A refusal counts as early within 0.3 s of the first attempt.
+    """
 
     sent: int = 0
     in_time: int = 0
@@ -126,11 +129,25 @@
 
 @dataclass
 class Result:
-    """Tallies by kind, rank and account."""
+    """Tallies by kind and account.
+
+    Attributes
+    ----------
+    attempts : int
+        Times that a request was sent.
+    expired : int
+        Of these, those that waited until their latest start.
+    """
 
     by_kind: dict = field(default_factory=lambda: defaultdict(Tally))
     by_account: dict = field(default_factory=lambda: defaultdict(Tally))
     total: Tally = field(default_factory=Tally)
+    attempts: int = 0
+    expired: int = 0
+
+    def list_kinds_by_rank(self):
+        """Return the tallies of the kinds, the most urgent rank first."""
+        return [self.by_kind[name] for name in sorted(self.by_kind, key=_KINDS.get)]
 
 
 class _Call:
@@ -223,6 +240,7 @@
             self.try_call(_Call(name, route, account, self.now, is_measured, work))
 
     def try_call(self, call):
+        self.result.attempts += call.counts
         route = call.route
         timeout = call.sent_at + route.timeout - self.now
         request = RoutedRequest(
@@ -260,6 +278,7 @@
         if waiter in control.queue:
             control.queue.remove(waiter)
             control.record_loss(waiter.request, self.now)
+            self.result.expired += waiter.server.counts
             self.refuse(waiter.server, 0.5)
 
     def check(self, instance):
--- a/kumquatsaddle/balance/overload.py
+++ b/kumquatsaddle/balance/overload.py
@@ -180,6 +180,7 @@
         self._rate = SlotRate()
         self._shares = RankShares()
         self._profiles = AccountProfiles()
+        self._forecasts_at, self._forecasts = None, {}
         self._credits = dict.fromkeys(Rank, 0.0)
 
     def make_waiter(self, request, excluded, until, event, now):
@@ -268,7 +269,7 @@
         self._rate.advance(now, bool(self.queue))
         if not self._rate.is_known():
             return None
-        return self._estimate_wait(rank)
+        return self._estimate_wait(rank, now)
 
     def _is_below_floor(self, rank, now):
         least = self._shares.compute_least_share(rank, now)
@@ -304,6 +305,8 @@
         -------
         dict of (Rank, bool) to _Forecast
         """
+        if self._forecasts_at == now:
+            return self._forecasts
         rate = self._rate.estimate(optimism=1.0)
         horizon = self._rate.compute_busy_age(now)
         forecasts = {}
@@ -315,6 +318,7 @@
                 forecasts[rank, is_last] = _Forecast(
                     rate - arrivals, rate - usual, horizon
                 )
+        self._forecasts_at, self._forecasts = now, forecasts
         return forecasts
 
     def _find_surplus(self, parts, refusals, now):
@@ -346,9 +350,7 @@
         if rule is QueueRule.RANK:
             wait = self._shares.compute_recovery(waiter.rank, now)
         else:
-            wait = self._estimate_wait(waiter.rank)
-            if wait is None:
-                wait = self._rate.compute_busy_age(now)
+            wait = self._estimate_wait(waiter.rank, now)
         wait *= self._random.uniform(*_RETRY_SPREAD)
         return QueueRefusal(
             rule,
@@ -359,12 +361,16 @@
             max(_MIN_RETRY_SECONDS, min(_MAX_RETRY_SECONDS, wait)),
         )
 
-    def _estimate_wait(self, rank):
-        """Return the time until a new request of a rank starts, or None."""
-        more_urgent = [other for other in Rank if other < rank]
-        arrivals = self._rate.estimate_arrivals(more_urgent)
-        free = self._rate.estimate() - arrivals
-        return self.queue.sum_work(rank) / free if free > 0.0 else None
+    def _estimate_wait(self, rank, now):
+        """Return the time until the waiting work of a rank has started, in seconds.
+
+        Newer requests of the rank count as going first: one that returns has less time
+        left than they have.
+        """
+        forecast = self._make_forecasts(now)[rank, True]
+        wait = forecast.estimate(self.queue.sum_work(rank))
+        # Without an end in sight, the shortage is expected to last as long again.
+        return wait if wait < float("inf") else self._rate.compute_busy_age(now)
 
 
 def _find_first_sent(request):
