--- a/kumquatsaddle/balance/tests/overload.feature
+++ b/kumquatsaddle/balance/tests/overload.feature
@@ -58,3 +58,8 @@
   Scenario: The cost of a change does not grow with the queue
     # Guards against an event loop that stands still while 500 requests wait.
     Then with 500 waiting requests a change takes one choice and no pass over all
+
+  Scenario: A request that is refused while it waits has not run and never will
+    # Guards against a refusal that says not run for a request that was sent.
+    Then for any waiting requests that are refused none reaches a server
+    And each of the others runs once
--- a/kumquatsaddle/balance/tests/steps/overload.py
+++ b/kumquatsaddle/balance/tests/steps/overload.py
@@ -5,8 +5,11 @@
 import trio.testing
 from behave import given, then, when
 from hypothesis import given as for_all
+from hypothesis import settings
 from hypothesis import strategies as st
 from queue_samples import Event, make_averages, make_request, make_route
+from scripted_dispatch import make_request as make_scripted_request
+from scripted_dispatch import open_servers, wait_until
 
 from kumquatsaddle.balance.account_profiles import AccountProfiles
 from kumquatsaddle.balance.averages import RouteAverages
@@ -14,6 +17,7 @@
 from kumquatsaddle.balance.budget import RetryLimits
 from kumquatsaddle.balance.overload import (
     DeadlineControl,
+    QueueRefusal,
     QueueRule,
     ValueControl,
     queue_policies,
@@ -25,9 +29,9 @@
 from kumquatsaddle.exceptions import QueueRefusedError
 from kumquatsaddle.logs import set_log_level
 from kumquatsaddle.metrics import make_metrics
-from kumquatsaddle.settings import fields
+from kumquatsaddle.settings.fields import known_fields
 from kumquatsaddle.settings.parsers import Address
-from kumquatsaddle.types import Rank, RefusalReason
+from kumquatsaddle.types import Outcome, Rank, RefusalReason
 
 SLOTS = 6
 
@@ -90,7 +94,7 @@
                 control.record_loss(request, now)
 
     check()
-    policy = next(f for f in fields.known_fields() if f.section == "queue")
+    policy = next(f for f in known_fields() if f.section == "queue")
     assert policy.default == "deadline"
     assert sorted(policy.choices) == queue_policies.names()
 
@@ -408,3 +412,62 @@
             nursery.cancel_scope.cancel()
 
     trio.run(run, clock=trio.testing.MockClock())
+
+
+@then("for any waiting requests that are refused none reaches a server")
+def check_refused_not_run(context):
+    context.runs = []
+
+    @settings(max_examples=15)
+    @for_all(st.sets(st.integers(0, 5)))
+    def check(places):
+        answers, reached = trio.run(refuse_places, places)
+        refused = [
+            number
+            for number, answer in answers.items()
+            if answer.reason is RefusalReason.QUEUE_FULL
+        ]
+        assert len(refused) == len(places)
+        for number in refused:
+            answer = answers[number]
+            assert (answer.outcome, answer.status) == (Outcome.NOT_RUN, 503), answer
+            assert answer.retry_after == 1.5, answer
+            assert f"/{number}" not in reached
+        context.runs.append((len(answers) - len(refused), reached))
+
+    check()
+
+
+async def refuse_places(places):
+    """Refuse some of 6 requests that wait; return all answers and what was reached."""
+    refusal = QueueRefusal(QueueRule.HOPELESS, 1, 0.2, 0.8, 1.0, 1.5)
+    answers = {}
+    async with trio.open_nursery() as nursery:
+        servers, dispatcher = await open_servers(nursery, 1, queue_policy="value")
+        servers.default = ("late", 0)
+
+        async def dispatch(number):
+            request = make_scripted_request(number, False)
+            answers[number] = await dispatcher.dispatch(request)
+
+        for number in range(SLOTS + 6):
+            nursery.start_soon(dispatch, number)
+        await wait_until(lambda: len(servers.reached) == SLOTS)
+        pool = dispatcher.pools["s"]
+        await wait_until(lambda: pool.count_waiting() == 6)
+        waiters = pool._waiters.list_in_order(trio.current_time())
+        pool._control.find_refusals = lambda now: [
+            (waiters[place], refusal) for place in places
+        ]
+        pool._refuse_scarce()
+        pool._control.find_refusals = lambda now: []
+        servers.release_answer.set()
+        await wait_until(lambda: len(answers) == SLOTS + 6)
+        nursery.cancel_scope.cancel()
+    return answers, servers.reached
+
+
+@then("each of the others runs once")
+def check_others_once(context):
+    for count, reached in context.runs:
+        assert len(reached) == len(set(reached)) == count, (count, reached)
