--- /dev/null
+++ b/kumquatsaddle/balance/overload.py
@@ -0,0 +1,398 @@
+"""Which waiting requests of one service are refused under scarcity, and when to return.
+
+Handles the queue of one instance, which gets its share of the slots of all servers: a
+few to some tens of starts a second, and bursts of several seconds. Each decision is
+made from what this queue has seen. Without estimates nothing is refused early.
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+from random import Random
+
+from kumquatsaddle.balance.account_profiles import AccountProfiles
+from kumquatsaddle.balance.rank_shares import RankShares
+from kumquatsaddle.balance.slot_rate import SlotRate
+from kumquatsaddle.balance.waiting import (
+    DeadlineOrder,
+    ValueOrder,
+    Waiter,
+    WaitingRequests,
+)
+from kumquatsaddle.registries import Registry
+from kumquatsaddle.types import Rank
+
+__all__ = [
+    "DeadlineControl",
+    "QueueRefusal",
+    "QueueRule",
+    "ValueControl",
+    "make_queue_control",
+    "queue_policies",
+]
+
+queue_policies = Registry("queue policy")
+
+# Share of the requests of a route that is answered within the time that the order
+# assumes for it.
+_WORK_QUANTILE = 0.8
+# Part of the starts that go before a waiting less urgent rank and give it one start.
+_FLOOR_SHARE = 0.05
+_MAX_FLOOR_CREDIT = 1.0
+# A rank gets its floor while its served share is below this part of that of each more
+# urgent rank, which must not be served less often.
+_FLOOR_RATIO = 0.5
+# A request arrives with the whole timeout of its route less the time on the way, unless
+# its caller has sent it before.
+_REPEATED_SECONDS = 0.1
+_MIN_RETRY_SECONDS, _MAX_RETRY_SECONDS = 0.1, 10.0
+# Range of the random factor of a Retry-After, which spreads the returning requests.
+_RETRY_SPREAD = (0.8, 1.3)
+
+
+class QueueRule(Enum):
+    """Which rule refused a waiting request; the label of a counter."""
+
+    # It cannot start in time behind the requests before it.
+    HOPELESS = "hopeless"
+    # A more urgent rank of the service is served less often.
+    RANK = "rank"
+
+
+@dataclass(frozen=True, slots=True)
+class QueueRefusal:
+    """What decided that a request is refused before its latest start.
+
+    Parameters
+    ----------
+    rule : QueueRule
+    place : int
+        Number of requests before it in the queue.
+    work_before : float
+        Their expected work, in seconds at a server.
+    slot_rate : float or None
+        Work that this queue can start in a second, in seconds; None if it is not known.
+    time_left : float
+        Time until its latest start, in seconds.
+    retry_after : float
+        In seconds.
+    """
+
+    rule: QueueRule
+    place: int
+    work_before: float
+    slot_rate: float | None
+    time_left: float
+    retry_after: float
+
+
+@dataclass(frozen=True, slots=True)
+class _Forecast:
+    """When the work before a request will have started.
+
+    Nothing tells when a shortage ends. The present arrivals are expected to last for as
+    long again as the shortage has lasted, and the usual ones after that.
+
+    Parameters
+    ----------
+    free_rate, later_free_rate : float
+        Slot rate less the arrivals that go first, in the shortage and after it.
+    horizon : float
+        Time until the shortage ends, in seconds.
+    """
+
+    free_rate: float
+    later_free_rate: float
+    horizon: float
+
+    def estimate(self, work):
+        """Return the time until `work` seconds have started, in seconds."""
+        if not work:
+            return 0.0
+        left = work - self.free_rate * self.horizon
+        if left <= 0.0:
+            return work / self.free_rate
+        if self.later_free_rate <= 0.0:
+            return float("inf")
+        return self.horizon + left / self.later_free_rate
+
+
+@queue_policies.register("deadline")
+class DeadlineControl:
+    """Order by rank and deadline; a request waits until its latest start.
+
+    Parameters
+    ----------
+    averages : RouteAverages
+    """
+
+    def __init__(self, averages):
+        self.queue = WaitingRequests(DeadlineOrder())
+        self._averages = averages
+
+    def make_waiter(self, request, excluded, until, event, now):
+        """Return a waiter for a request; see `Waiter`."""
+        return Waiter(request, excluded, until, event)
+
+    def list_parts(self, now):
+        """Return lists of waiters in their order."""
+        return self.queue.list_parts(now)
+
+    def record_arrival(self, request, now):
+        """Count a request that arrived."""
+
+    def check_arrival(self, request, now):
+        """Return the `QueueRefusal` of a request that must not start at once, or None.
+
+        Call it for a request for which a slot may be free.
+        """
+        return None
+
+    def record_start(self, request, now):
+        """Count a request that started."""
+
+    def record_loss(self, request, now):
+        """Count a request that was refused for want of a slot."""
+
+    def find_refusals(self, now):
+        """Return the waiters to refuse with their `QueueRefusal`."""
+        return []
+
+    def estimate_wait(self, rank, now):
+        """Return the wait of a new request of a rank in seconds, or None."""
+        return None
+
+
+@queue_policies.register("value")
+class ValueControl(DeadlineControl):
+    """Order by rank and value; refuses what cannot be served in time.
+
+    Parameters
+    ----------
+    averages : RouteAverages
+    random : Random, optional
+        Spreads the Retry-After.
+    """
+
+    def __init__(self, averages, random=None):
+        self.queue = WaitingRequests(ValueOrder())
+        self._averages = averages
+        self._random = random or Random()
+        self._rate = SlotRate()
+        self._shares = RankShares()
+        self._profiles = AccountProfiles()
+        self._forecasts_at, self._forecasts = None, {}
+        self._credits = dict.fromkeys(Rank, 0.0)
+
+    def make_waiter(self, request, excluded, until, event, now):
+        """Return a waiter for a request; see `Waiter`."""
+        route = request.route
+        usual = self._averages.work.estimate(route, _WORK_QUANTILE)
+        if usual is None:
+            usual = self._averages.estimate_seconds(route)
+        return Waiter(
+            request,
+            excluded,
+            until,
+            event,
+            self._averages.estimate_seconds(route),
+            _find_first_sent(request) + route.objective - usual,
+            request.is_excess,
+        )
+
+    def record_arrival(self, request, now):
+        """Count a request that arrived."""
+        if request.account is not None:
+            age = request.arrived - _find_first_sent(request)
+            request.is_excess = self._profiles.add_arrival(
+                request.account.name, now, age > _REPEATED_SECONDS
+            )
+        self._rate.advance(now, bool(self.queue))
+        work = self._averages.estimate_seconds(request.route)
+        self._rate.add_arrival(request.rank, work, bool(self.queue))
+
+    def check_arrival(self, request, now):
+        """Return the `QueueRefusal` of a request that must not start at once, or None.
+
+        A less urgent one could find a slot here while more urgent ones are refused at
+        other instances too.
+        """
+        waiting = self.queue.count_by_rank(request.rank)
+        if not self._shares.count_surplus(request.rank, waiting + 1, now):
+            return None
+        waiter = self.make_waiter(request, frozenset(), request.deadline, None, now)
+        work = self.queue.sum_work(request.rank)
+        return self._make_refusal(QueueRule.RANK, waiter, waiting, work, now)
+
+    def record_start(self, request, now):
+        """Count a request that started."""
+        self._shares.add_start(request.rank, now)
+        self._rate.advance(now, bool(self.queue))
+        if not self.queue:
+            return
+        self._rate.add_start(self._averages.estimate_seconds(request.route))
+        for rank in Rank:
+            if rank > request.rank and self.queue.count_by_rank(rank):
+                credit = self._credits[rank] + _FLOOR_SHARE
+                self._credits[rank] = min(_MAX_FLOOR_CREDIT, credit)
+        if self.queue.is_waiting_before(request.rank - 1):
+            # It passed a more urgent one by its floor.
+            self._credits[request.rank] = 0.0
+
+    def record_loss(self, request, now):
+        """Count a request that was refused for want of a slot."""
+        self._shares.add_loss(request.rank, now)
+
+    def list_parts(self, now):
+        """Return lists of waiters in their order; one may be in two of them."""
+        parts = self.queue.list_parts(now)
+        for rank in reversed(Rank):
+            if self._credits[rank] >= _MAX_FLOOR_CREDIT and self._is_below_floor(
+                rank, now
+            ):
+                first = next((part for part in parts if part[0].rank == rank), None)
+                if first is not None:
+                    return [first[:1], *parts]
+        return parts
+
+    def find_refusals(self, now):
+        """Return the waiters to refuse with their `QueueRefusal`.
+
+        Call it at most once for each arrival, and only while no server has a free slot.
+        """
+        self._rate.advance(now, bool(self.queue))
+        parts = self.queue.list_parts(now)
+        refusals = self._find_hopeless(parts, now) if self._rate.is_known() else []
+        return refusals + self._find_surplus(parts, refusals, now)
+
+    def estimate_wait(self, rank, now):
+        """Return the wait of a new request of a rank in seconds, or None."""
+        self._rate.advance(now, bool(self.queue))
+        if not self._rate.is_known():
+            return None
+        return self._estimate_wait(rank, now)
+
+    def _is_below_floor(self, rank, now):
+        least = self._shares.compute_least_share(rank, now)
+        return self._shares.compute_share(rank, now) < _FLOOR_RATIO * least
+
+    def _find_hopeless(self, parts, now):
+        refusals, place, work_before = [], 0, 0.0
+        forecasts = self._make_forecasts(now)
+        for part in parts:
+            for waiter in part:
+                is_last = waiter.is_excess or waiter.objective_start < now
+                wait = forecasts[waiter.rank, is_last].estimate(work_before)
+                if not is_last and now + wait > waiter.objective_start:
+                    # It will be late, and then newer requests go before it.
+                    wait = forecasts[waiter.rank, True].estimate(work_before)
+                if now + wait <= waiter.until:
+                    place += 1
+                    work_before += waiter.work
+                    continue
+                refusal = self._make_refusal(
+                    QueueRule.HOPELESS, waiter, place, work_before, now
+                )
+                refusals.append((waiter, refusal))
+        return refusals
+
+    def _make_forecasts(self, now):
+        """Return the forecasts by rank and whether newer requests of it go first.
+
+        They err so that chance refuses little: by a standard deviation more starts and
+        fewer arrivals.
+
+        Returns
+        -------
+        dict of (Rank, bool) to _Forecast
+        """
+        if self._forecasts_at == now:
+            return self._forecasts
+        rate = self._rate.estimate(optimism=1.0)
+        horizon = self._rate.compute_busy_age(now)
+        forecasts = {}
+        for rank in Rank:
+            for is_last in (False, True):
+                ahead = [o for o in Rank if o < rank or (is_last and o == rank)]
+                arrivals = self._rate.estimate_arrivals(ahead, optimism=1.0)
+                usual = min(arrivals, self._rate.estimate_usual_arrivals(ahead))
+                forecasts[rank, is_last] = _Forecast(
+                    rate - arrivals, rate - usual, horizon
+                )
+        self._forecasts_at, self._forecasts = now, forecasts
+        return forecasts
+
+    def _find_surplus(self, parts, refusals, now):
+        """Return the waiters that would be served more often than more urgent ones."""
+        refused = {waiter for waiter, _ in refusals}
+        found = []
+        for rank in list(Rank)[1:]:
+            waiting = self.queue.count_by_rank(rank) - sum(
+                waiter.rank == rank for waiter in refused
+            )
+            surplus = self._shares.count_surplus(rank, waiting, now) if waiting else 0
+            if not surplus:
+                continue
+            last = [
+                waiter
+                for part in parts
+                for waiter in part
+                if waiter.rank == rank and waiter not in refused
+            ]
+            for place, waiter in list(enumerate(last))[-surplus:]:
+                refusal = self._make_refusal(
+                    QueueRule.RANK, waiter, place, self.queue.sum_work(rank), now
+                )
+                found.append((waiter, refusal))
+        return found
+
+    def _make_refusal(self, rule, waiter, place, work_before, now):
+        known = self._rate.is_known()
+        if rule is QueueRule.RANK:
+            wait = self._shares.compute_recovery(waiter.rank, now)
+        else:
+            wait = self._estimate_wait(waiter.rank, now)
+        wait *= self._random.uniform(*_RETRY_SPREAD)
+        return QueueRefusal(
+            rule,
+            place,
+            work_before,
+            self._rate.estimate() if known else None,
+            waiter.until - now,
+            max(_MIN_RETRY_SECONDS, min(_MAX_RETRY_SECONDS, wait)),
+        )
+
+    def _estimate_wait(self, rank, now):
+        """Return the time until the waiting work of a rank has started, in seconds.
+
+        Newer requests of the rank count as going first: one that returns has less time
+        left than they have.
+        """
+        forecast = self._make_forecasts(now)[rank, True]
+        wait = forecast.estimate(self.queue.sum_work(rank))
+        # Without an end in sight, the shortage is expected to last as long again.
+        return wait if wait < float("inf") else self._rate.compute_busy_age(now)
+
+
+def _find_first_sent(request):
+    """Return when the caller sent a request first, in seconds.
+
+    A request that was refused before arrives with less than the timeout of its route.
+    """
+    return min(request.arrived, request.deadline - request.route.timeout)
+
+
+def make_queue_control(policy, averages):
+    """Return the control of an empty queue by the name of a policy.
+
+    Parameters
+    ----------
+    policy : str
+        A name in `queue_policies`.
+    averages : RouteAverages
+
+    Raises
+    ------
+    SettingsError
+        If there is no such policy.
+    """
+    return queue_policies.get(policy)(averages)
--- a/kumquatsaddle/balance/pool.py
+++ b/kumquatsaddle/balance/pool.py
@@ -1,56 +1,37 @@
 """The backend servers of one service at one instance, and its queue of requests."""
 
+from itertools import chain
+
 import trio
 
 from kumquatsaddle.balance.budget import SlidingRetryBudget
-from kumquatsaddle.balance.choice import (
-    MAX_EXPLORABLE_FAILURE,
-    NO_EXPLORATION,
-    choose_server,
-    is_explorable,
-)
+from kumquatsaddle.balance.choice import choose_server, has_free_slot
 from kumquatsaddle.balance.departures import Departures
 from kumquatsaddle.balance.drain_rate import DrainRate
+from kumquatsaddle.balance.exploration import Exploration
+from kumquatsaddle.balance.overload import make_queue_control
+from kumquatsaddle.balance.queue_report import QueueReport
 from kumquatsaddle.balance.servers import BalancedServer
 from kumquatsaddle.dispatch.rate_limits import merge_delays
-from kumquatsaddle.exceptions import BackendsPausedError, RateLimitedError
+from kumquatsaddle.exceptions import (
+    BackendsPausedError,
+    QueueRefusedError,
+    RateLimitedError,
+)
 
 __all__ = ["BalancedPool"]
 
 # Longest time between passes over the queue: a request that has waited longer accepts
 # costlier servers.
 _QUEUE_CHECK_INTERVAL_SECONDS = 0.1
-# Share of the explorable servers of this zone below which the service explores.
-_MIN_USED_SHARE = 0.75
-# Time after a request for which its server counts as in use.
-_USED_WINDOW_SECONDS = 1.7
-# How long only repeatable requests try unused servers, if there are such requests.
-_REPEATABLE_FIRST_SECONDS = 1.0
 # Retry-After for a request that only servers could run which are left to others.
 _OTHER_INSTANCES_RETRY_SECONDS = 1.0
 # A request waits for a server that takes requests again this soon: its caller could
 # not come back earlier.
 _SHORT_PAUSE_SECONDS = 0.5
-# Shortest time between counts of the servers in use while no request is sent.
-_USE_COUNT_INTERVAL_SECONDS = 0.1
-
-
-class _Waiter:
-    __slots__ = ("request", "excluded", "until", "event", "server", "retry_after")
-
-    def __init__(self, request, excluded, until):
-        self.request = request
-        self.excluded = excluded
-        self.until = until
-        self.event = trio.Event()
-        self.server = None
-        self.retry_after = None
-
-    @property
-    def selection_key(self):
-        """What decides, apart from the time waited, which servers it accepts."""
-        request = self.request
-        return request.rank, request.idempotent, request.attempts_left, self.excluded
+# With more waiting requests than this, the queue is searched for those to refuse only
+# at each pass over it, not at each arrival.
+_MAX_WAITING_SEARCHED_AT_ARRIVAL = 50
 
 
 class BalancedPool:
@@ -65,6 +46,11 @@
     averages : RouteAverages
     departures : Departures, optional
         Servers that have said that they leave.
+    policy : str, default="deadline"
+        Setting ``[queue] policy``; a name in `queue_policies`.
+    metrics : Metrics, optional
+    service : ServiceName, optional
+        Label of the metrics.
 
     Attributes
     ----------
@@ -72,7 +58,17 @@
         Zones without an instance, whose servers are explored from this zone.
     """
 
-    def __init__(self, zone, protocol, retry_limits, averages, departures=None):
+    def __init__(
+        self,
+        zone,
+        protocol,
+        retry_limits,
+        averages,
+        departures=None,
+        policy="deadline",
+        metrics=None,
+        service="",
+    ):
         self.servers = {}
         self.unattended = frozenset()
         self.budget = SlidingRetryBudget(retry_limits)
@@ -80,14 +76,14 @@
         self._protocol = protocol
         self._averages = averages
         self._departures = departures or Departures()
-        self._waiters = []
+        self._control = make_queue_control(policy, averages)
+        self._waiters = self._control.queue
+        self._report = QueueReport(metrics, service)
+        self._passed_at = float("-inf")
         self._drain_rate = DrainRate()
         self._assigned_at = float("-inf")
         self._local_first = ()
-        self._explores = False
-        self._use_counted_at = float("-inf")
-        self._explores_since = float("-inf")
-        self._repeatable_at = float("-inf")
+        self._exploration = Exploration(self.servers, zone)
 
     def update(self, records):
         """Replace the list of servers; return those that are no longer in it.
@@ -141,6 +137,8 @@
             soon as this is known.
         BackendsPausedError
             If all servers have asked for a pause; it tells when the first one ends.
+        QueueRefusedError
+            If it is refused under scarcity.
         """
         if not any(
             server.is_in_service() and name not in excluded
@@ -148,27 +146,45 @@
         ):
             return None
         self._raise_if_paused(request, excluded)
+        if not excluded:
+            self._count_arrival(request)
         server = None
-        if not self._must_queue(request):
+        if not self._waiters.is_waiting_before(request.rank):
             server = self._choose(request, excluded)
-        if server is None:
-            waiter = _Waiter(request, excluded, until)
-            if not self._waiters:
-                self._drain_rate.restart(trio.current_time())
-            self._waiters.append(waiter)
-            # By rank, the most urgent first; within a rank by deadline.
-            self._waiters.sort(key=_compute_queue_order)
-            self._refuse_limited()
-            try:
-                await self._wait(waiter, until)
-            finally:
-                if waiter in self._waiters:
-                    self._waiters.remove(waiter)
-            server = waiter.server
-            if server is None:
-                self._raise_if_paused(request, excluded)
-                self._raise_if_limited(waiter)
-        return server
+        return server or await self._wait_for_server(request, excluded, until)
+
+    def _count_arrival(self, request):
+        """Count a request that was not sent yet; raise if it must not be now."""
+        now = trio.current_time()
+        self._control.record_arrival(request, now)
+        refusal = self._control.check_arrival(request, now)
+        if refusal is not None:
+            self._control.record_loss(request, now)
+            self._report.add_refusal(request, refusal, now)
+            raise QueueRefusedError(refusal, request.service)
+
+    async def _wait_for_server(self, request, excluded, until):
+        now = trio.current_time()
+        waiter = self._control.make_waiter(request, excluded, until, trio.Event(), now)
+        if not self._waiters:
+            self._drain_rate.restart(now)
+        self._waiters.add(waiter)
+        self._refuse_limited()
+        if len(self._waiters) <= _MAX_WAITING_SEARCHED_AT_ARRIVAL:
+            self._refuse_scarce()
+        try:
+            await self._wait(waiter, until)
+        finally:
+            if waiter in self._waiters:
+                self._waiters.remove(waiter)
+        if waiter.server is None:
+            self._raise_if_paused(request, excluded)
+            self._raise_if_refused(waiter)
+            self._raise_if_limited(waiter)
+            now = trio.current_time()
+            if now >= until and not has_free_slot(self.servers.values(), now):
+                self._control.record_loss(request, now)
+        return waiter.server
 
     def release(self, server, request):
         """Remove a completed request from the load of its server."""
@@ -182,16 +198,40 @@
         skipped: a choice for each of them, at each change, would take all of the
         processor time while many wait.
         """
-        self._assigned_at = trio.current_time()
+        now = self._assigned_at = trio.current_time()
         if all(server.leaving or server.gone for server in self.servers.values()):
             self.refuse_waiting()
+        if not self._waiters:
+            self._report.update(self._control, now)
+            return
+        self._release_paused()
+        self._assign_in_order(now)
+        if self._waiters:
+            self._refuse_limited()
+        if now - self._passed_at >= _QUEUE_CHECK_INTERVAL_SECONDS:
+            self._passed_at = now
+            self._refuse_scarce()
+            self._report.update(self._control, now)
+
+    def _release_paused(self):
+        """Let go of the requests for which all servers are paused."""
+        paused = {
+            excluded
+            for excluded in {key[-1] for key in self._waiters.list_selection_keys()}
+            if self.compute_pause(excluded) is not None
+        }
+        if paused:
+            for waiter in self._waiters.list_waiting():
+                if waiter.excluded in paused:
+                    self._waiters.remove(waiter)
+                    waiter.event.set()
+
+    def _assign_in_order(self, now):
         blocked = set()
-        for waiter in list(self._waiters):
-            if self.compute_pause(waiter.excluded) is not None:
-                self._waiters.remove(waiter)
-                waiter.event.set()
-                continue
-            if waiter.selection_key in blocked:
+        for waiter in chain.from_iterable(map(tuple, self._control.list_parts(now))):
+            if len(blocked) == self._waiters.count_selection_keys():
+                return
+            if waiter.selection_key in blocked or waiter not in self._waiters:
                 continue
             server = self._choose(waiter.request, waiter.excluded)
             if server is None:
@@ -200,8 +240,24 @@
                 self._waiters.remove(waiter)
                 waiter.server = server
                 waiter.event.set()
-        if self._waiters:
-            self._refuse_limited()
+
+    def _refuse_scarce(self):
+        """Refuse the waiting requests that cost least, if there are too many."""
+        now = trio.current_time()
+        if not self._waiters or has_free_slot(self.servers.values(), now):
+            # With a free slot, requests wait for evidence that its server is healthy.
+            return
+        for waiter, refusal in self._control.find_refusals(now):
+            self._waiters.remove(waiter)
+            waiter.refusal = refusal
+            waiter.event.set()
+            self._control.record_loss(waiter.request, now)
+            self._report.add_refusal(waiter.request, refusal, now)
+
+    def _raise_if_refused(self, waiter):
+        """Raise `QueueRefusedError` if a request was refused under scarcity."""
+        if waiter.refusal is not None:
+            raise QueueRefusedError(waiter.refusal, waiter.request.service)
 
     def refuse_waiting(self, is_refused=lambda request: True):
         """Let the waiting requests go without a server.
@@ -211,7 +267,7 @@
         is_refused : callable, optional
             Returns whether a `RoutedRequest` is let go; default: all are.
         """
-        for waiter in list(self._waiters):
+        for waiter in self._waiters.list_waiting():
             if is_refused(waiter.request):
                 self._waiters.remove(waiter)
                 waiter.event.set()
@@ -250,7 +306,7 @@
             return
         delay = next(delays, None)
         latest_check = trio.current_time() + _QUEUE_CHECK_INTERVAL_SECONDS
-        for waiter in list(self._waiters):
+        for waiter in self._waiters.list_in_order(trio.current_time()):
             if delay is not None and latest_check + delay <= waiter.until:
                 delay = next(delays, None)
                 continue
@@ -286,51 +342,6 @@
             return delays
         return self._drain_rate.iterate_delays(now)
 
-    def _needs_exploration(self, now):
-        """Return whether servers that are not in use have to be tried.
-
-        A server that recovered counts as faulty until it is tried, so that without
-        exploration too few servers could stay in use for lack of evidence alone.
-        """
-        if now - self._use_counted_at >= _USE_COUNT_INTERVAL_SECONDS:
-            self._use_counted_at = now
-            explored_before = self._explores
-            self._explores = self._has_too_few_in_use(now)
-            if self._explores and not explored_before:
-                self._explores_since = now
-        return self._explores
-
-    def _compute_max_explored_failure(self, request, now):
-        """Return the failure probability up to which a request tries unused servers.
-
-        A server that is tried may still be faulty, which costs a repeatable request
-        only a retry. Where there are such requests, the others leave it to them for a
-        while.
-        """
-        is_repeatable = request.idempotent and request.attempts_left > 0
-        if is_repeatable:
-            self._repeatable_at = now
-        if not self._needs_exploration(now):
-            return NO_EXPLORATION
-        others_wait = (
-            now - self._repeatable_at < _REPEATABLE_FIRST_SECONDS
-            and now - self._explores_since < _REPEATABLE_FIRST_SECONDS
-        )
-        if others_wait and not is_repeatable:
-            return NO_EXPLORATION
-        return MAX_EXPLORABLE_FAILURE
-
-    def _has_too_few_in_use(self, now):
-        usable = [
-            server
-            for server in self.servers.values()
-            if server.record.zone == self._zone
-            and server.is_available(now)
-            and is_explorable(server, now, MAX_EXPLORABLE_FAILURE)
-        ]
-        used = sum(now - server.used_at < _USED_WINDOW_SECONDS for server in usable)
-        return used < _MIN_USED_SHARE * len(usable)
-
     def list_in_service(self):
         """Return the servers that are neither gone, draining nor leaving."""
         return list(filter(BalancedServer.is_in_service, self.servers.values()))
@@ -358,10 +369,6 @@
                     waiter.server = None
                 raise
 
-    def _must_queue(self, request):
-        """Return whether a request of the same or a more urgent rank already waits."""
-        return any(item.request.rank <= request.rank for item in self._waiters)
-
     def _choose(self, request, excluded):
         now = trio.current_time()
         server = choose_server(
@@ -370,7 +377,7 @@
             now,
             self._zone,
             excluded,
-            max_explored_failure=self._compute_max_explored_failure(request, now),
+            max_explored_failure=self._exploration.compute_max_failure(request, now),
             unattended=self.unattended,
         )
         if server is None:
@@ -379,14 +386,11 @@
         server.begin(id(request), now, self._averages.estimate_seconds(request.route))
         if self._waiters:
             self._drain_rate.add_start(now)
-        self._use_counted_at = float("-inf")
+        self._control.record_start(request, now)
+        self._exploration.record_start()
         return server
 
 
-def _compute_queue_order(waiter):
-    return waiter.request.rank, waiter.request.deadline
-
-
 def _is_replaced(record, known):
     """Return whether the incarnation, address or service of a server has changed."""
     return (record.started_at_ms, record.address, record.service) != (
--- a/kumquatsaddle/balance/requests.py
+++ b/kumquatsaddle/balance/requests.py
@@ -37,6 +37,8 @@
         Of the caller; None on a public route and where there are no accounts.
     key_digest : KeyDigest or None
         Of the API key; None without an account.
+    is_excess : bool
+        Whether it is beyond the usual load of its account at this instance.
     """
 
     request_id: bytes
@@ -52,6 +54,7 @@
     kilobytes: float = 0.0
     account: ClientAccount | None = None
     key_digest: KeyDigest | None = None
+    is_excess: bool = False
     _digest: RequestDigest | None = None
 
     @property
--- a/kumquatsaddle/lifecycle/routed_node.py
+++ b/kumquatsaddle/lifecycle/routed_node.py
@@ -124,6 +124,7 @@
             settings.get("repeats", "share"),
             settings.get("repeats", "allowance"),
             settings.get("repeats", "window"),
+            settings.get("queue", "policy"),
         )
         apply_answer_limits(self.dispatcher, settings)
         self.follower = make_follower(
