Compare the table of the review page with the registered checks

Cause: a check could be added or renamed without the page. Change: a scenario of docs/tests, also for the mark of checks that need all entries.

--- a/docs/tests/pages.feature
+++ b/docs/tests/pages.feature
@@ -20,6 +20,10 @@
   Scenario: the table of refusal reasons is complete
     Then the protocol page lists every refusal reason with its status and outcome
 
+  # Guards against checks of the review that are added or renamed without the page.
+  Scenario: the table of the review's checks is complete
+    Then the review page lists every check and says which need all entries
+
   # Guards against pages that show a make target which has no recipe or module.
   Scenario: the make targets that are shown can be made
     Then every make target that a page shows runs a module or tool that exists
--- a/docs/tests/steps/pages.py
+++ b/docs/tests/steps/pages.py
@@ -8,6 +8,7 @@
 from docs.tests.pages import MISSING, NOT_RUN, ROOT, list_pages, read_blocks
 from docs.tests.sessions import run_page
 from kumquatsaddle.exchange import Answer
+from kumquatsaddle.routes.review import checks, whole_checks
 from kumquatsaddle.types import RefusalReason
 
 OPTIONS = doctest.ELLIPSIS | doctest.NORMALIZE_WHITESPACE
@@ -101,6 +102,18 @@
     assert "| `answer_forgotten` | as recorded | `done` |" in text
 
 
+@then("the review page lists every check and says which need all entries")
+def check_review(context):
+    text = (ROOT / "docs" / "operators" / "review-a-configuration.md").read_text()
+    table = text.partition("## Checks")[2].partition("\n\nThe work")[0]
+    rows = [row.split("|")[1] for row in table.splitlines() if row.startswith("| `")]
+    marks = dict(re.findall(r"`(\w+)`( \*)?", " ".join(rows)))
+    expected = dict.fromkeys(["invalid", "no_effect", *checks.names()], "")
+    whole = [*whole_checks.names(), "version_not_newer", "no_accounts_left"]
+    expected |= dict.fromkeys(whole, " *")
+    assert marks == expected, set(marks.items()) ^ set(expected.items())
+
+
 def list_commands():
     return [
         (page, command)
