--- a/kumquatsaddle/testing/chaos.py
+++ b/kumquatsaddle/testing/chaos.py
@@ -26,34 +26,24 @@
 
 @faults.register("cut_answers")
 async def _cut_answers(fleet, rng, duration):
-    standin = rng.choice(list(fleet.backends.values()))
-    standin.mode["cut_rate"] = 0.5
-    await trio.sleep(duration)
-    standin.mode["cut_rate"] = 0.0
+    await _set_mode(_choose_backend(fleet, rng), duration, "cut_rate", 0.5, 0.0)
 
 
 @faults.register("gray_errors")
 async def _gray_errors(fleet, rng, duration):
-    standin = rng.choice(list(fleet.backends.values()))
-    standin.mode["error_rate"] = rng.choice([0.3, 1.0])
-    await trio.sleep(duration)
-    standin.mode["error_rate"] = 0.0
+    standin, rate = _choose_backend(fleet, rng), rng.choice([0.3, 1.0])
+    await _set_mode(standin, duration, "error_rate", rate, 0.0)
 
 
 @faults.register("slow_backend")
 async def _slow_backend(fleet, rng, duration):
-    standin = rng.choice(list(fleet.backends.values()))
-    standin.mode["slow_factor"] = rng.choice([20.0, 200.0])
-    await trio.sleep(duration)
-    standin.mode["slow_factor"] = 1.0
+    standin, factor = _choose_backend(fleet, rng), rng.choice([20.0, 200.0])
+    await _set_mode(standin, duration, "slow_factor", factor, 1.0)
 
 
 @faults.register("drain_backend")
 async def _drain_backend(fleet, rng, duration):
-    standin = rng.choice(list(fleet.backends.values()))
-    standin.mode["draining"] = True
-    await trio.sleep(duration)
-    standin.mode["draining"] = False
+    await _set_mode(_choose_backend(fleet, rng), duration, "draining", True, False)
 
 
 @faults.register("lose_requests")
@@ -197,6 +187,17 @@
     return record
 
 
+def _choose_backend(fleet, rng):
+    return rng.choice(list(fleet.backends.values()))
+
+
+async def _set_mode(standin, duration, key, value, usual):
+    """Change one mode of a backend server for `duration` seconds."""
+    standin.mode[key] = value
+    await trio.sleep(duration)
+    standin.mode[key] = usual
+
+
 async def _inject_faults(fleet, rng, names):
     """Inject random faults one after the other until cancelled.
 
