Name kumquatsaddle-review where a file has the other format

Cause: kumquatsaddle-check said only "is not a list" of a configuration of published routes. Change: the error names the command for that format.

--- a/kumquatsaddle/commands/offline.py
+++ b/kumquatsaddle/commands/offline.py
@@ -61,7 +61,8 @@
     """
     entries = load_json(file)
     if not isinstance(entries, list):
-        raise ConfigurationError("is not a list", file)
+        problem = "is not a list of entities; for routes use kumquatsaddle-review"
+        raise ConfigurationError(problem, file)
     for index, entry in enumerate(entries):
         if not isinstance(entry, dict) or entry.get("kind") not in _KINDS:
             known = ", ".join(_KINDS)
--- a/kumquatsaddle/commands/tests/steps/check.py
+++ b/kumquatsaddle/commands/tests/steps/check.py
@@ -81,6 +81,10 @@
         entities.write_text(json.dumps([entry]))
         code, _, err = run_check(file, f"--configuration={entities}")
         assert code == 3 and f"{entities}: services/s.slots" in err
+        entities.write_text('{"Version": "c", "Resources": []}')
+        code, _, err = run_check(file, f"--configuration={entities}")
+        assert code == 3 and f"{entities}: is not a list of entities" in err, err
+        assert "kumquatsaddle-review" in err, err
         entry["value"] = {"slots": 1}
         entities.write_text(json.dumps([entry]))
         assert run_check(file, f"--configuration={entities}") == (0, "", "")
