Admit requests of client accounts by tokens from the owner of their quota

Cause: the owners of quotas have to be asked by the other instances. Change: messages of quotas over the socket of the reports, with repeats that grant once; reports say whether their sender takes part, summaries list the active instances of a zone and how many are live and known; [quotas] window, overrun, slack; 429 with account_limit and Retry-After.

--- a/kumquatsaddle/entry/routed.py
+++ b/kumquatsaddle/entry/routed.py
@@ -68,6 +68,8 @@
     get_arrival_delay : callable
         Returns how long ago a request that is read now may have arrived, in seconds.
     metrics : Metrics
+    quotas : Quotas, optional
+        Of client accounts.
     """
 
     def __init__(
@@ -78,6 +80,7 @@
         choose_service,
         get_arrival_delay,
         metrics,
+        quotas=None,
     ):
         self._protocol = protocol
         self._dispatcher = dispatcher
@@ -85,6 +88,7 @@
         self._choose_service = choose_service
         self._get_arrival_delay = get_arrival_delay
         self._metrics = metrics
+        self._quotas = quotas
 
     async def answer(self, caller_request):
         """Return the answer to a request of a caller.
@@ -159,10 +163,25 @@
             deadline=arrived + min(timeout - _DEADLINE_MARGIN_SECONDS, route.timeout),
             account=account,
         )
-        answer = await self._dispatcher.dispatch(request)
+        answer = await self._dispatch(request)
         self._metrics.observe_latency(request.rank, trio.current_time() - arrived)
         return answer
 
+    async def _dispatch(self, request):
+        """Dispatch a request within the quota of its account."""
+        account = request.account
+        if account is None or self._quotas is None:
+            return await self._dispatcher.dispatch(request)
+        try:
+            await self._quotas.admit(account, request.deadline, request.request_id)
+        except RefusedError as error:
+            # The quotas write a bounded number of log lines.
+            return Answer.from_reason(error.reason, retry_after=error.retry_after)
+        answer = await self._dispatcher.dispatch(request)
+        if answer.outcome is Outcome.NOT_RUN:
+            self._quotas.give_back(account)
+        return answer
+
     def _refuse(self, request_id, reason, version=""):
         log_event(
             "request_refused",
@@ -195,11 +214,23 @@
 
 
 def make_routed_proxy(
-    protocol, dispatcher, get_routes, choose_service, get_arrival_delay, metrics
+    protocol,
+    dispatcher,
+    get_routes,
+    choose_service,
+    get_arrival_delay,
+    metrics,
+    quotas=None,
 ):
     """Return a proxy for the published routes; see `RoutedProxy`."""
     return RoutedProxy(
-        protocol, dispatcher, get_routes, choose_service, get_arrival_delay, metrics
+        protocol,
+        dispatcher,
+        get_routes,
+        choose_service,
+        get_arrival_delay,
+        metrics,
+        quotas,
     )
 
 
--- a/kumquatsaddle/lifecycle/pauses.py
+++ b/kumquatsaddle/lifecycle/pauses.py
@@ -6,9 +6,11 @@
 out.
 """
 
+import time
+
 import trio
 
-__all__ = ["PauseDetector", "make_pause_detector"]
+__all__ = ["PauseDetector", "get_boot_time", "make_pause_detector"]
 
 # Default interval between two ticks, and the shortest gap between ticks that counts as
 # a pause at this interval. At another interval it is 3 ticks as well.
@@ -66,3 +68,11 @@
 def make_pause_detector(tick_seconds=_TICK_SECONDS):
     """Return a pause detector that uses the clock of trio; see `PauseDetector`."""
     return PauseDetector(tick_seconds=tick_seconds)
+
+
+def get_boot_time():
+    """Return seconds on a clock that includes the time in which we are suspended.
+
+    The monotonic clock, which trio uses, does not advance while the machine is frozen.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/kumquatsaddle/lifecycle/routed_node.py
+++ b/kumquatsaddle/lifecycle/routed_node.py
@@ -11,6 +11,7 @@
 
 import trio
 
+from kumquatsaddle.accounts.quota_owner import QuotaBounds
 from kumquatsaddle.balance.dispatcher import make_balanced_dispatcher
 from kumquatsaddle.discovery.follower import make_follower
 from kumquatsaddle.discovery.records import InstanceRecord
@@ -21,7 +22,7 @@
 from kumquatsaddle.exceptions import PlatformUnavailableError, SettingsError
 from kumquatsaddle.lifecycle.answers import apply_answer_limits
 from kumquatsaddle.lifecycle.application import make_application
-from kumquatsaddle.lifecycle.pauses import make_pause_detector
+from kumquatsaddle.lifecycle.pauses import get_boot_time, make_pause_detector
 from kumquatsaddle.lifecycle.servers import start_server
 from kumquatsaddle.lifecycle.stopping import read_stop_times, stop_starting_in_time
 from kumquatsaddle.logs import log_event, set_log_level
@@ -32,6 +33,7 @@
 from kumquatsaddle.settings.reload import reload_settings
 from kumquatsaddle.sharing.exchange import make_zone_exchange
 from kumquatsaddle.sharing.peers import PeerTable
+from kumquatsaddle.sharing.quotas import make_quotas
 
 __all__ = ["DeploymentParts", "RoutedNode", "make_routed_node"]
 
@@ -130,6 +132,14 @@
             self.peers, self.dispatcher, self, self.metrics
         )
         self.follower.exchange = self.exchange
+        self.quotas = make_quotas(
+            self.exchange,
+            self.list_active,
+            self._get_accounts,
+            self.metrics,
+            _read_quota_bounds(settings),
+            get_boot_time,
+        )
         self.capacity = _compute_capacity(settings)
         self._parts = parts
         self._store = parts.store
@@ -185,6 +195,7 @@
             self._service_selector.choose_service,
             self._pause_detector.get_arrival_delay,
             self.metrics,
+            self.quotas,
         )
         nursery.start_soon(self._pause_detector.run)
         await start_server(nursery, self._run_exchange, self.settings, "control")
@@ -194,6 +205,7 @@
         self.callers = make_caller_server(self._caller_config, proxy)
         await start_server(nursery, self.callers.run, self.settings, "callers")
         nursery.start_soon(self.follower.run)
+        nursery.start_soon(self.quotas.run)
         nursery.start_soon(self._register)
         nursery.start_soon(self._join)
         nursery.start_soon(self._watch_settings)
@@ -245,6 +257,10 @@
     async def _run_exchange(self, address, task_status=trio.TASK_STATUS_IGNORED):
         await self.exchange.run(task_status)
 
+    def _get_accounts(self):
+        routes = self.follower.routes
+        return None if routes is None else routes.accounts
+
     async def _update_servers(self, records):
         await self.dispatcher.update_servers(records)
 
@@ -267,6 +283,7 @@
             for record in records:
                 self.peers.add_instance(record, now)
             self.dispatcher.retry_limits.instances = len(self.peers.instances)
+            self.quotas.is_listed = True
             log_event("instances_listed", instances=len(records))
             self._introduce_to_unheard_peers()
 
@@ -339,6 +356,14 @@
     return status.st_mtime_ns, status.st_size, status.st_ino
 
 
+def _read_quota_bounds(settings):
+    return QuotaBounds(
+        settings.get("quotas", "window"),
+        settings.get("quotas", "overrun"),
+        settings.get("quotas", "slack"),
+    )
+
+
 def _compute_capacity(settings):
     """Return the requests a second that the link and the processors allow."""
     by_link = (
--- a/kumquatsaddle/sharing/exchange.py
+++ b/kumquatsaddle/sharing/exchange.py
@@ -13,6 +13,7 @@
 from kumquatsaddle.balance.beliefs import Observation
 from kumquatsaddle.balance.limit_shares import LimitShares
 from kumquatsaddle.exceptions import MessageError
+from kumquatsaddle.settings.parsers import Address
 from kumquatsaddle.sharing.announcements import (
     NO_ANNOUNCEMENTS,
     SharedAnnouncements,
@@ -29,6 +30,7 @@
     decode_report,
     encode_report,
 )
+from kumquatsaddle.sharing.quota_messages import QUOTA_PREFIX
 from kumquatsaddle.sharing.schedule import MAX_INTERVAL_SECONDS, ReportSchedule, Scope
 from kumquatsaddle.sharing.summary_exchange import SummaryExchange
 from kumquatsaddle.sharing.survivals import SurvivalReports
@@ -57,10 +59,15 @@
     node : RoutedNode
         Provides the state of this instance for reports, and answers fetches.
     metrics : Metrics
+
+    Attributes
+    ----------
+    quotas : Quotas or None
     """
 
     def __init__(self, peers, dispatcher, node, metrics):
         self.peers = peers
+        self.quotas = None
         self._dispatcher = dispatcher
         self._node = node
         self._metrics = metrics
@@ -118,6 +125,10 @@
         self._pending_scope = Scope.ALL
         self._changed.set()
 
+    def send_summary_soon(self):
+        """Send a summary to the other zones if this instance is the zone leader."""
+        self._summaries.send_soon()
+
     def introduce(self, addresses):
         """Send a report that asks for a reply to instances not heard from yet."""
         data = encode_report(self._make_first_report(wants_reply=True))
@@ -295,6 +306,9 @@
     ):
         """Return a `Report` of this instance; see there for the parameters."""
         self._sequence += 1
+        zone_view, zone_records = None, ()
+        if self.quotas is not None and summary and not partial:
+            zone_view, zone_records = self.quotas.describe_zone()
         return Report(
             sender=self.peers.own,
             incarnation=self._incarnation,
@@ -314,6 +328,9 @@
             limits=announcements.limits,
             departures=announcements.departures,
             ends=announcements.ends,
+            holds_quotas=self.quotas is not None,
+            zone_view=zone_view,
+            zone_records=zone_records,
         )
 
     async def _receive(self):
@@ -326,21 +343,30 @@
                 self._metrics.count("reports_undelivered", error=type(error).__name__)
                 continue
             try:
-                report = decode_report(data)
+                self._handle_datagram(data, source)
             except MessageError as error:
                 self._metrics.count("messages_rejected", reason=str(error)[:32])
-                continue
-            self._handle_report(report, data, source[0])
+
+    def _handle_datagram(self, data, source):
+        """Handle a datagram; raise `MessageError` if it is invalid."""
+        if self.quotas is not None and data.startswith(QUOTA_PREFIX):
+            self.quotas.handle(data, Address(*source))
+        else:
+            self._handle_report(decode_report(data), data, source[0])
 
     def _handle_report(self, report, data, host):
         now = trio.current_time()
         if report.summary:
             if self._summaries.handle(report, data, host, now):
                 self._node.record_peer_answer(report.read_age)
+                if self.quotas is not None:
+                    self.quotas.hear_zone(report)
             return
         peer = self.peers.accept_report(report, now)
         if peer is None:
             return
+        if self.quotas is not None:
+            self.quotas.hear_peer(report)
         for silent in self.peers.mark_silent(report.silent, now):
             self._remote_loads.drop(silent.record.name)
         is_first = peer.counts is None
--- a/kumquatsaddle/sharing/messages.py
+++ b/kumquatsaddle/sharing/messages.py
@@ -9,6 +9,7 @@
 
 import capnp
 
+from kumquatsaddle.accounts.fleet_contact import ZoneView
 from kumquatsaddle.balance.beliefs import Observation
 from kumquatsaddle.discovery.records import InstanceRecord
 from kumquatsaddle.exceptions import MessageError
@@ -161,6 +162,9 @@
     limits: tuple[StatedLimit, ...] = ()
     departures: tuple[Departure, ...] = ()
     ends: tuple[EndAge, ...] = ()
+    holds_quotas: bool = False
+    zone_view: ZoneView | None = None
+    zone_records: tuple[InstanceRecord, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -250,6 +254,9 @@
         _write_departures(message, report.departures)
     if report.ends:
         _write_ends(message, report.ends)
+    message.holdsQuotas = report.holds_quotas
+    if report.zone_view is not None:
+        _write_zone_view(message, report.zone_view, report.zone_records)
     return message.to_bytes()
 
 
@@ -307,10 +314,7 @@
         target.key, target.version = row.key, row.version
         target.removed, target.text = row.removed, row.text
         target.keepMs = int(min(row.keep_seconds, _MAX_AGE_SECONDS) * 1000)
-    instances = message.init("instances", len(update.instances))
-    for target, item in zip(instances, update.instances, strict=True):
-        target.name, target.zone = item.name, item.zone
-        target.callers, target.control = str(item.callers), str(item.control)
+    _write_instances(message.init("instances", len(update.instances)), update.instances)
     data = message.to_bytes()
     if not compresses or len(data) < _MIN_COMPRESSED_BYTES:
         return data
@@ -369,7 +373,21 @@
         target.endedAgoMs = int(min(end.ended_ago, _MAX_AGE_SECONDS) * 1000)
 
 
+def _write_zone_view(message, view, records):
+    target = message.init("zoneView")
+    target.active, target.live, target.known = list(view.active), view.live, view.known
+    if records:
+        _write_instances(target.init("records", len(records)), records)
+
+
+def _write_instances(targets, records):
+    for target, item in zip(targets, records, strict=True):
+        target.name, target.zone = item.name, item.zone
+        target.callers, target.control = str(item.callers), str(item.control)
+
+
 def _convert_report(message):
+    has_view = message._has("zoneView")
     return Report(
         sender=InstanceRecord(
             InstanceId(message.sender),
@@ -405,9 +423,18 @@
             )
             for item in message.ends
         ),
+        holds_quotas=message.holdsQuotas,
+        zone_view=_convert_zone_view(message.zoneView) if has_view else None,
+        zone_records=tuple(_convert_instance(item) for item in message.zoneView.records)
+        if has_view
+        else (),
     )
 
 
+def _convert_zone_view(message):
+    return ZoneView(tuple(message.active), message.live, message.known)
+
+
 def _convert_limit(message):
     """Return a limit; raise `ValueError` if its rate is no number."""
     if not isfinite(message.rate):
--- a/kumquatsaddle/sharing/reports.capnp
+++ b/kumquatsaddle/sharing/reports.capnp
@@ -32,6 +32,16 @@
   limits @19 :List(RateLimit); # rate limits that servers state or have ended
   departures @20 :List(Departure); # servers that have said that they leave
   ends @21 :List(ServerEnd); # requests under which servers ended, and those cleared
+  holdsQuotas @22 :Bool;     # whether the sender takes part in the quotas of accounts
+  zoneView @23 :ZoneView;    # in a full summary: the instances of the sender's zone
+}
+
+struct ZoneView {
+  active @0 :List(UInt64);   # hashes of the names of those that may own quotas
+  live @1 :UInt16;           # number of those in contact with the sender
+  known @2 :UInt16;          # number of those that have not left on purpose
+  # The active instances themselves; in some summaries only, because they are long.
+  records @3 :List(Instance);
 }
 
 struct ServerEnd {
