--- a/kumquatsaddle/entry/routed.py
+++ b/kumquatsaddle/entry/routed.py
@@ -75,6 +75,8 @@
         Returns how long ago a request that is read now may have arrived, in seconds.
     metrics : Metrics
     access : AccountAccess
+    quotas : Quotas, optional
+        Of client accounts.
     """
 
     def __init__(
@@ -86,6 +88,7 @@
         get_arrival_delay,
         metrics,
         access,
+        quotas=None,
     ):
         self._protocol = protocol
         self._dispatcher = dispatcher
@@ -94,6 +97,7 @@
         self._get_arrival_delay = get_arrival_delay
         self._metrics = metrics
         self._access = access
+        self._quotas = quotas
 
     async def answer(self, caller_request):
         """Return the answer to a request of a caller.
@@ -172,7 +176,7 @@
             account=account,
             key_digest=key_digest,
         )
-        answer = await self._dispatcher.dispatch(request)
+        answer = await self._dispatch(request)
         if answer.reason is RefusalReason.UNAUTHORIZED:
             self._access.count_problem(KeyProblem.REVOKED)
         self._metrics.observe_latency(request.rank, trio.current_time() - arrived)
@@ -193,6 +197,21 @@
             self._access.count_problem(error.problem)
             raise
 
+    async def _dispatch(self, request):
+        """Dispatch a request within the quota of its account."""
+        account = request.account
+        if account is None or self._quotas is None:
+            return await self._dispatcher.dispatch(request)
+        try:
+            await self._quotas.admit(account, request.deadline, request.request_id)
+        except RefusedError as error:
+            # The quotas write a bounded number of log lines.
+            return Answer.from_reason(error.reason, retry_after=error.retry_after)
+        answer = await self._dispatcher.dispatch(request)
+        if answer.outcome is Outcome.NOT_RUN:
+            self._quotas.give_back(account)
+        return answer
+
     def _refuse(self, request_id, reason, version="", detail=""):
         log_event(
             "request_refused",
@@ -235,6 +254,7 @@
     get_arrival_delay,
     metrics,
     access,
+    quotas=None,
 ):
     """Return a proxy for the published routes; see `RoutedProxy`."""
     return RoutedProxy(
@@ -245,6 +265,7 @@
         get_arrival_delay,
         metrics,
         access,
+        quotas,
     )
 
 
--- a/kumquatsaddle/lifecycle/routed_node.py
+++ b/kumquatsaddle/lifecycle/routed_node.py
@@ -12,7 +12,9 @@
 import trio
 
 from kumquatsaddle.accounts.access import make_account_access, read_revoke_after
+from kumquatsaddle.accounts.quota_owner import QuotaBounds
 from kumquatsaddle.balance.dispatcher import make_balanced_dispatcher
+from kumquatsaddle.clocks import read_elapsed_time
 from kumquatsaddle.discovery.follower import make_follower
 from kumquatsaddle.discovery.records import InstanceRecord
 from kumquatsaddle.dispatch.protocol import BackendProtocol
@@ -38,6 +40,7 @@
 from kumquatsaddle.settings.reload import reload_settings
 from kumquatsaddle.sharing.exchange import make_zone_exchange
 from kumquatsaddle.sharing.peers import PeerTable
+from kumquatsaddle.sharing.quotas import make_quotas
 
 __all__ = ["DeploymentParts", "RoutedNode", "make_routed_node"]
 
@@ -141,6 +144,14 @@
             read_revoke_after(settings),
         )
         self.dispatcher.find_access_refusal = self.access.find_refusal
+        self.quotas = make_quotas(
+            self.exchange,
+            self.list_active,
+            self._get_accounts,
+            self.metrics,
+            _read_quota_bounds(settings),
+            read_elapsed_time,
+        )
         self.capacity = _compute_capacity(settings)
         self.follower.route_directory.on_change = self._export_routes_status
         self._export_routes_status()
@@ -205,6 +216,7 @@
             self._pause_detector.get_arrival_delay,
             self.metrics,
             self.access,
+            self.quotas,
         )
         nursery.start_soon(self._pause_detector.run)
         await start_server(nursery, self._run_exchange, self.settings, "control")
@@ -214,6 +226,7 @@
         self.callers = make_caller_server(self._caller_config, proxy)
         await start_server(nursery, self.callers.run, self.settings, "callers")
         nursery.start_soon(self.follower.run)
+        nursery.start_soon(self.quotas.run)
         nursery.start_soon(self._register)
         nursery.start_soon(self._join)
         nursery.start_soon(self._watch_settings)
@@ -267,6 +280,10 @@
     async def _run_exchange(self, address, task_status=trio.TASK_STATUS_IGNORED):
         await self.exchange.run(task_status)
 
+    def _get_accounts(self):
+        routes = self.follower.routes
+        return None if routes is None else routes.accounts
+
     async def _update_servers(self, records):
         await self.dispatcher.update_servers(records)
 
@@ -294,6 +311,7 @@
             now = trio.current_time()
             for record in records:
                 self.peers.add_instance(record, now)
+            self.quotas.is_listed = True
             log_event("instances_listed", instances=len(records))
             self._introduce_to_unheard_peers()
 
@@ -366,6 +384,14 @@
     return status.st_mtime_ns, status.st_size, status.st_ino
 
 
+def _read_quota_bounds(settings):
+    return QuotaBounds(
+        settings.get("quotas", "window"),
+        settings.get("quotas", "overrun"),
+        settings.get("quotas", "slack"),
+    )
+
+
 def _compute_capacity(settings):
     """Return the requests a second that the link and the processors allow."""
     by_link = (
--- a/kumquatsaddle/settings/fields.py
+++ b/kumquatsaddle/settings/fields.py
@@ -356,6 +356,35 @@
         doc="Order of waiting requests. value: what is worth most first, and refused "
         "at once what cannot be served in time.",
     ),
+    Field(
+        "quotas",
+        "window",
+        "number",
+        5.0,
+        0.5,
+        3600.0,
+        "s",
+        doc="Any time of this length in which requests of an account are counted.",
+    ),
+    Field(
+        "quotas",
+        "overrun",
+        "number",
+        0.1,
+        0.0,
+        10.0,
+        doc="Tolerated part above rate x window + burst of a quota.",
+    ),
+    Field(
+        "quotas",
+        "slack",
+        "number",
+        20.0,
+        0.0,
+        1e6,
+        "requests",
+        doc="Tolerated requests in a window beyond that.",
+    ),
     Field(
         "stop", "notice", "number", 3.0, 0.0, 60.0, "s", doc="Listening after SIGTERM."
     ),
