Give the setting [quotas] overrun its unit

Cause: behave kumquatsaddle/settings/tests failed: a number has no unit. Change: unit of overrun; settings page regenerated.

--- a/kumquatsaddle/settings/fields.py
+++ b/kumquatsaddle/settings/fields.py
@@ -345,6 +345,7 @@
         0.1,
         0.0,
         10.0,
+        "of the quota",
         doc="Tolerated part above rate x window + burst of a quota.",
     ),
     Field(
