--- a/kumquatsaddle/clocks.py
+++ b/kumquatsaddle/clocks.py
@@ -4,7 +4,12 @@
 
 import trio
 
-__all__ = ["make_steady_clock", "read_elapsed_time", "read_suspended_seconds"]
+__all__ = [
+    "make_steady_clock",
+    "read_boot_time",
+    "read_elapsed_time",
+    "read_suspended_seconds",
+]
 
 # Counts the time in which the machine is suspended, unlike the monotonic clock. Other
 # systems than Linux do not have it; there the two count as the same.
@@ -26,12 +31,20 @@
     return lambda: offset + time.monotonic()
 
 
+def read_boot_time():
+    """Return monotonic seconds that count the time in which the machine is suspended.
+
+    Unlike `read_elapsed_time` it may be called outside of a trio loop.
+    """
+    return time.clock_gettime(_BOOT_CLOCK)
+
+
 def read_suspended_seconds():
     """Return for how long the machine has been suspended, in seconds.
 
     Only differences between two calls have a meaning.
     """
-    return time.clock_gettime(_BOOT_CLOCK) - time.monotonic()
+    return read_boot_time() - time.monotonic()
 
 
 def read_elapsed_time():
--- a/kumquatsaddle/lifecycle/routed_node.py
+++ b/kumquatsaddle/lifecycle/routed_node.py
@@ -14,7 +14,7 @@
 from kumquatsaddle.accounts.access import make_account_access, read_revoke_after
 from kumquatsaddle.accounts.quota_owner import QuotaBounds
 from kumquatsaddle.balance.dispatcher import make_balanced_dispatcher
-from kumquatsaddle.clocks import read_elapsed_time
+from kumquatsaddle.clocks import read_boot_time
 from kumquatsaddle.discovery.follower import make_follower
 from kumquatsaddle.discovery.records import InstanceRecord
 from kumquatsaddle.dispatch.protocol import BackendProtocol
@@ -150,7 +150,7 @@
             self._get_accounts,
             self.metrics,
             _read_quota_bounds(settings),
-            read_elapsed_time,
+            read_boot_time,
         )
         self.capacity = _compute_capacity(settings)
         self.follower.route_directory.on_change = self._export_routes_status
