Divide a stated rate limit by the zones that are heard

Cause: a zone that was not heard counted as absent, so that two zones that lost each other each used the whole rate that a server had stated for all instances together. Change: the zones that hear each other use at most their part of all known zones. A zone whose last summary said that its instance was stopping has left and does not count.

--- a/kumquatsaddle/balance/limit_shares.py
+++ b/kumquatsaddle/balance/limit_shares.py
@@ -8,6 +8,11 @@
 chosen by rendezvous hashing [1]_, so that all instances choose the same ones and only
 the share of an instance that is lost moves.
 
+A zone that is not heard may have lost its instances, or may only be out of contact and
+still use the server. Therefore the zones that hear each other together use no more of a
+rate than their part of all known zones: in a fleet that has fallen apart, the parts of
+all sides add up to the rate. A zone that left on purpose does not count.
+
 References
 ----------
 .. [1] D. G. Thaler and C. V. Ravishankar, "Using name-based mappings to increase hit
@@ -39,8 +44,9 @@
         self._own = own
         self._active = ()
         self._attended = frozenset({own.zone})
+        self._known = self._attended
 
-    def update(self, active, attended):
+    def update(self, active, attended, known=()):
         """Set the instances and zones to choose from; return whether they changed.
 
         Parameters
@@ -48,13 +54,16 @@
         active : iterable of InstanceId
             Instances of this zone that callers are sent to.
         attended : iterable of ZoneId
-            Other zones that have an instance.
+            Other zones whose instances are heard.
+        known : iterable of ZoneId, optional
+            Other zones that have instances, heard or not.
         """
         active = tuple(sorted(active))
         attended = frozenset(attended) | {self._own.zone}
-        if (active, attended) == (self._active, self._attended):
+        known = frozenset(known) | {self._own.zone}
+        if (active, attended, known) == (self._active, self._attended, self._known):
             return False
-        self._active, self._attended = active, attended
+        self._active, self._attended, self._known = active, attended, known
         return True
 
     def compute_share(self, server, supplied_zones):
@@ -80,7 +89,8 @@
         if self._own.name not in users:
             return _NO_SHARE
         turn = zones.index(self._own.zone) / len(zones) + users.index(self._own.name)
-        return RateShare(1.0 / (len(zones) * len(users)), turn / len(users))
+        fraction = self._compute_contact_share() / (len(zones) * len(users))
+        return RateShare(fraction, turn / len(users))
 
     def is_responsible(self, server):
         """Return whether this zone reports the limit of a server to the others.
@@ -89,6 +99,10 @@
         """
         return self._choose_responsible_zone(server) == self._own.zone
 
+    def _compute_contact_share(self):
+        """Return the part of the known zones that are heard, with this one."""
+        return len(self._known & self._attended) / len(self._known)
+
     def _choose_responsible_zone(self, server):
         zone = server.record.zone
         return zone if zone in self._attended else self._sort_zones(server)[0]
--- a/kumquatsaddle/balance/tests/steps/limit_shares.py
+++ b/kumquatsaddle/balance/tests/steps/limit_shares.py
@@ -38,7 +38,7 @@
         names = [f"i-{zone}-{index}" for index in range(number)]
         for name in names:
             computed = LimitShares(SimpleNamespace(name=name, zone=zone))
-            computed.update(names, set(instances) - {zone})
+            computed.update(names, set(instances) - {zone}, set(instances))
             shares[zone, name] = computed.compute_share(server, supplied)
     return shares
 
@@ -55,6 +55,62 @@
     check()
 
 
+def compute_group_shares(instances, group, known, server, servers):
+    """Return the share of each instance of zones that hear only each other."""
+    supplied = {other.record.zone for other in servers}
+    shares = []
+    for zone in group:
+        names = [f"i-{zone}-{index}" for index in range(instances[zone])]
+        for name in names:
+            computed = LimitShares(SimpleNamespace(name=name, zone=zone))
+            computed.update(names, group - {zone}, known - {zone})
+            shares.append(computed.compute_share(server, supplied).fraction)
+    return shares
+
+
+def draw_groups(data, instances):
+    """Return a division of the zones into groups."""
+    groups = {}
+    for zone in instances:
+        groups.setdefault(data.draw(st.integers(0, 2)), set()).add(zone)
+    return list(groups.values())
+
+
+@then("for any groups of zones the shares of each server add up to at most its rate")
+def check_groups(context):
+    @for_all(draw_fleets(), st.data())
+    def check(fleet, data):
+        instances, servers = fleet
+        groups = draw_groups(data, instances)
+        for server in servers:
+            total = 0.0
+            for group in groups:
+                total += sum(
+                    compute_group_shares(
+                        instances, group, set(instances), server, servers
+                    )
+                )
+            assert total < 1.0 + ROUNDING, (groups, total)
+
+    check()
+
+
+@then(
+    "a group uses the part of the zones in it, and all of it once the others have left"
+)
+def check_group_part(context):
+    @for_all(draw_fleets(), st.data())
+    def check(fleet, data):
+        instances, servers = fleet
+        group = draw_groups(data, instances)[0]
+        part = len(group) / len(instances)
+        for known, expected in ((set(instances), part), (group, 1.0)):
+            shares = compute_group_shares(instances, group, known, servers[0], servers)
+            assert abs(sum(shares) - expected) < ROUNDING, (known, shares)
+
+    check()
+
+
 @then("few instances have a share of a server with a low rate")
 def check_number(context):
     @for_all(draw_fleets())
--- a/kumquatsaddle/sharing/exchange.py
+++ b/kumquatsaddle/sharing/exchange.py
@@ -80,7 +80,8 @@
         dispatcher.on_load_changed = self._on_load
         self._announcements = SharedAnnouncements(dispatcher)
         self._limit_shares = LimitShares(peers.own)
-        self._attended_zones = frozenset()
+        # Other zones whose instances are heard, and all that have instances.
+        self._attended_zones = self._known_zones = frozenset()
         self._summaries = SummaryExchange(
             self,
             dispatcher,
@@ -180,7 +181,7 @@
 
     def _update_limit_shares(self, active):
         names = [record.name for record in active]
-        if self._limit_shares.update(names, self._attended_zones):
+        if self._limit_shares.update(names, self._attended_zones, self._known_zones):
             self._dispatcher.update_limit_shares()
 
     async def _send_reports(self):
@@ -264,8 +265,14 @@
         unattended = self._summaries.find_unattended(zones, now)
         self._dispatcher.set_unattended(unattended)
         # Zones with instances but without a server have a share of the limits.
-        zones |= set(self.peers.group_other_zones())
+        with_instances = set(self.peers.group_other_zones())
+        zones |= with_instances
         self._attended_zones = zones - self._summaries.find_unattended(zones, now)
+        self._known_zones = {
+            zone
+            for zone in with_instances
+            if zone in self._attended_zones or not self._summaries.has_left(zone)
+        }
 
     def send(self, data, address):
         """Send a datagram to the control address of an instance."""
--- a/kumquatsaddle/sharing/summary_exchange.py
+++ b/kumquatsaddle/sharing/summary_exchange.py
@@ -68,6 +68,11 @@
         """
         return self._summaries.list_unattended(zones, now)
 
+    def has_left(self, zone):
+        """Return whether the last instance heard from a zone was stopping."""
+        latest = self._summaries.latest_reports.get(zone)
+        return latest is not None and latest.leaving
+
     async def run(self):
         """Send summaries while this instance is the zone leader, until cancelled."""
         due = trio.current_time() + _SUMMARY_INTERVAL_SECONDS
--- a/kumquatsaddle/sharing/tests/steps/limited_fleet.py
+++ b/kumquatsaddle/sharing/tests/steps/limited_fleet.py
@@ -126,6 +126,8 @@
         is_lost = self.fleet.random.random() < _LOSS
         if target is None or is_lost or self.is_cut or target.is_cut:
             return
+        if self.fleet.separates(self.record.zone, target.record.zone):
+            return
         self.fleet.nursery.start_soon(target.receive, data, self.record.control.host)
 
     async def receive(self, data, host):
@@ -162,6 +164,12 @@
             instance.record.control.host: instance for instance in self.instances
         }
         self.answers = []
+        # Zones that hear each other but none of the others.
+        self.separate_zones = frozenset()
+
+    def separates(self, zone, other):
+        """Return whether datagrams between two zones are lost."""
+        return (zone in self.separate_zones) != (other in self.separate_zones)
 
     async def start(self):
         """Start the instances and let them hear of each other."""
