Let no stated rate limit look newer than it is after a freeze

Cause: the age of a statement came from the clock of trio, which stands still while the machine is suspended, and counted from the time at which a report or an answer was read, which may be long after it had arrived. The statement then displaced newer ones. Change: ages come from a clock that includes suspensions (clocks.read_elapsed_time), and what is read right after a pause counts as old as the pause; the pause detector notices suspensions too.

--- a/kumquatsaddle/balance/announcements.py
+++ b/kumquatsaddle/balance/announcements.py
@@ -37,7 +37,7 @@
         server.rate_limit.rate,
         may_end=attempt.outcome is not AttemptOutcome.SHED,
     )
-    dispatcher.state_rate_limit(server, rate, trio.current_time())
+    dispatcher.state_rate_limit(server, rate, dispatcher.get_arrival_time())
 
 
 def _apply_pause(server, attempt):
--- a/kumquatsaddle/balance/dispatcher.py
+++ b/kumquatsaddle/balance/dispatcher.py
@@ -22,6 +22,7 @@
 from kumquatsaddle.balance.departures import Departures
 from kumquatsaddle.balance.end_records import EndRecords
 from kumquatsaddle.balance.pool import BalancedPool
+from kumquatsaddle.clocks import read_elapsed_time
 from kumquatsaddle.dispatch.answers import AnswerMemory
 from kumquatsaddle.dispatch.rate_limits import WHOLE_RATE
 from kumquatsaddle.dispatch.retries import choose_answer
@@ -79,6 +80,9 @@
     find_access_refusal : callable
         Returns the `RefusalReason` for which a request that was accepted may not be
         sent by the accounts in force, or None; default: always None.
+    get_arrival_delay : callable
+        Returns how long ago an answer or a report that is read now may have arrived, in
+        seconds; default: always 0.
     compute_limit_share : callable
         Returns the `RateShare` of this instance for a server with a limit and the
         zones in which its service has servers; default: all of it.
@@ -97,6 +101,7 @@
         self.on_limit_changed = lambda server: None
         self.on_departure = lambda server, is_first_hand: None
         self.find_access_refusal = lambda request: None
+        self.get_arrival_delay = lambda: 0.0
         self.compute_limit_share = lambda server, supplied_zones: WHOLE_RATE
         self._zone = zone
         self._unattended = frozenset()
@@ -151,6 +156,14 @@
         for pool in self.pools.values():
             yield from pool.servers.values()
 
+    def get_arrival_time(self):
+        """Return when bytes that are read now may have arrived, at the earliest.
+
+        It includes the time in which the machine was suspended; see
+        `read_elapsed_time`.
+        """
+        return read_elapsed_time() - self.get_arrival_delay()
+
     def state_rate_limit(self, server, rate, stated_at, is_first_hand=True):
         """Set the rate limit of a server; see `BalancedServer.state_rate_limit`."""
         if server.state_rate_limit(rate, stated_at, is_first_hand):
--- a/kumquatsaddle/balance/servers.py
+++ b/kumquatsaddle/balance/servers.py
@@ -264,7 +264,7 @@
         rate : float or None
             In requests a second; None if the answer stated none.
         stated_at : float
-            When the answer arrived, on the clock of trio in seconds.
+            When the answer arrived; see `read_elapsed_time`.
         is_first_hand : bool, default=True
             Whether the answer arrived at this instance.
         """
--- a/kumquatsaddle/clocks.py
+++ b/kumquatsaddle/clocks.py
@@ -9,6 +9,7 @@
 # Counts the time in which the machine is suspended, unlike the monotonic clock. Other
 # systems than Linux do not have it; there the two count as the same.
 _BOOT_CLOCK = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
+_SUSPENDED_BEFORE_SECONDS = time.clock_gettime(_BOOT_CLOCK) - time.monotonic()
 
 
 def make_steady_clock():
@@ -27,11 +28,9 @@
 
 
 def read_suspended_seconds():
-    """Return for how long the machine has been suspended, in seconds.
-
-    Only differences between two calls have a meaning.
-    """
-    return time.clock_gettime(_BOOT_CLOCK) - time.monotonic()
+    """Return for how long the machine was suspended while this process ran."""
+    suspended = time.clock_gettime(_BOOT_CLOCK) - time.monotonic()
+    return suspended - _SUSPENDED_BEFORE_SECONDS
 
 
 def read_elapsed_time():
--- a/kumquatsaddle/dispatch/rate_limits.py
+++ b/kumquatsaddle/dispatch/rate_limits.py
@@ -53,7 +53,7 @@
     rate : float or None
         Requests a second from all instances together; None without a limit.
     stated_at : float
-        When the answer arrived that stated it, on the clock of trio in seconds.
+        When the answer arrived that stated it, in seconds on the clock of the caller.
     is_first_hand : bool
         Whether this instance got that answer.
     """
@@ -88,6 +88,7 @@
         stated_at : float
             When the answer arrived; an older one than the latest changes nothing.
         now : float
+            Of the token bucket; may be of another clock than `stated_at`.
         is_first_hand : bool, default=True
         """
         if stated_at < self.stated_at:
--- a/kumquatsaddle/lifecycle/routed_node.py
+++ b/kumquatsaddle/lifecycle/routed_node.py
@@ -150,7 +150,9 @@
         self._store = parts.store
         self._service_selector = WeightedRoundRobin()
         self._pause_detector = make_pause_detector(_PAUSE_TICK_SECONDS)
-        self.follower.contact.get_arrival_delay = self._pause_detector.get_arrival_delay
+        get_arrival_delay = self._pause_detector.get_arrival_delay
+        self.follower.contact.get_arrival_delay = get_arrival_delay
+        self.dispatcher.get_arrival_delay = get_arrival_delay
         self._caller_config = _CallerServerConfig(settings, self.metrics)
         self._leaving = False
         self.callers = None
--- a/kumquatsaddle/sharing/limits.py
+++ b/kumquatsaddle/sharing/limits.py
@@ -3,10 +3,15 @@
 An instance reports to its peers the limits that answers to its own requests stated.
 What others reported it passes on only to an instance that has just started and, as zone
 leader, to other zones, so that a statement never returns to where it came from.
+
+The newest statement holds everywhere, so its age must not look younger than it is. It
+includes the time in which the machine was suspended, and that for which a report may
+have waited to be read while the process was paused.
 """
 
 import trio
 
+from kumquatsaddle.clocks import read_elapsed_time
 from kumquatsaddle.sharing.messages import StatedLimit
 
 __all__ = ["SharedLimits"]
@@ -73,31 +78,37 @@
         ----------
         limits : iterable of StatedLimit
         """
-        now = trio.current_time()
+        now, arrived_at = trio.current_time(), self._dispatcher.get_arrival_time()
         for limit in limits:
             server = self._dispatcher.find_server(limit.server)
             if server is None:
                 continue
-            if now - limit.age > server.rate_limit.stated_at:
+            stated_at = arrived_at - limit.age
+            if stated_at > server.rate_limit.stated_at:
                 self._dispatcher.state_rate_limit(
-                    server, limit.rate, now - limit.age, is_first_hand=False
+                    server, limit.rate, stated_at, is_first_hand=False
                 )
             if limit.rate is not None:
                 self._reported_at[server.name] = now
 
     def expire(self):
         """End the limits that no instance reports and no request here can renew."""
-        now = trio.current_time()
         for server in self._list_tracked():
             limit = server.rate_limit
-            reported_at = self._reported_at.get(server.name, limit.stated_at)
-            is_old = now - reported_at > _EXPIRY_SECONDS
+            is_old = self._compute_report_age(server) > _EXPIRY_SECONDS
             is_renewed = limit.is_first_hand and limit.has_share
             if is_old and limit.rate is not None and not is_renewed:
                 self._dispatcher.state_rate_limit(
                     server, None, limit.stated_at, is_first_hand=False
                 )
 
+    def _compute_report_age(self, server):
+        """Return the time since the limit of a server was last reported, in seconds."""
+        reported_at = self._reported_at.get(server.name)
+        if reported_at is None:
+            return read_elapsed_time() - server.rate_limit.stated_at
+        return trio.current_time() - reported_at
+
     def _list_tracked(self):
         oldest = trio.current_time() - _END_REPORTED_SECONDS
         self._ended_at = {
@@ -118,7 +129,7 @@
         return [server for server in servers if server and server.rate_limit.is_stated]
 
     def _make_limits(self, servers):
-        now = trio.current_time()
+        now = read_elapsed_time()
         limits = [
             StatedLimit(
                 server.name, server.rate_limit.rate, now - server.rate_limit.stated_at
