Pass large bodies on without copies

A body was copied from the receive buffer into bytes, and again into the request to the backend server; an answer likewise on the way back. A body of 64 MiB thus needed three times its size for a moment. Bodies above 64 KiB now stay in the buffer in which they were received and are written from there, and answers are written in slices without a copy.

--- a/kumquatsaddle/dispatch/connections.py
+++ b/kumquatsaddle/dispatch/connections.py
@@ -43,6 +43,8 @@
 # Longest request that is written whole before the answer is read. A server may answer a
 # longer one before it has read all of it, and read the rest later.
 _MAX_WRITE_FIRST_BYTES = 4096
+# Longer bodies of answers are kept in the buffer in which they were received.
+_MAX_COPIED_BODY_BYTES = 65536
 # Answers to other requests that are skipped before the matching one.
 _MAX_SKIPPED_ANSWERS = 8
 # Value of SO_LINGER that makes a close reset the connection.
@@ -120,7 +122,8 @@
         ----------
         method, target : str
         headers : list of (bytes, bytes)
-        body : bytes
+        body : bytes or bytearray
+            Must not change during the exchange; a long one is written without a copy.
         max_body : int
             Longest body of an answer, in bytes.
         before_write : callable
@@ -149,14 +152,14 @@
         # or a cancellation before that leaves the connection unusable.
         self._answered = False
         self._memory = memory
-        data = self._encode(method, target, headers, body)
+        parts = self._encode(method, target, headers, body)
         before_write()
         try:
-            if len(data) <= _MAX_WRITE_FIRST_BYTES:
-                await self._stream.send_all(data)
+            if sum(map(len, parts)) <= _MAX_WRITE_FIRST_BYTES:
+                await self._stream.send_all(b"".join(parts))
                 answer = await self._receive_matching(method, headers, max_body)
             else:
-                answer = await self._send_and_receive(method, headers, data, max_body)
+                answer = await self._send_and_receive(method, headers, parts, max_body)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise self._make_error(RefusalReason.ANSWER_LOST, error) from None
         except h11.RemoteProtocolError as error:
@@ -181,16 +184,19 @@
         await trio.aclose_forcefully(self._stream)
 
     def _encode(self, method, target, headers, body):
+        """Return the bytes of a request in parts, of which the body is not copied."""
         try:
             request = h11.Request(method=method, target=target, headers=headers)
-            data = self._parser.send(request)
+            parts = [self._parser.send(request)]
             if body:
-                data += self._parser.send(h11.Data(data=body))
-            return data + self._parser.send(h11.EndOfMessage())
+                data = h11.Data(data=body)
+                parts += self._parser.send_with_data_passthrough(data)
+            end = self._parser.send(h11.EndOfMessage())
+            return [*parts, end] if end else parts
         except h11.LocalProtocolError as error:
             raise ExchangeError(RefusalReason.BAD_REQUEST, False, error) from None
 
-    async def _send_and_receive(self, method, headers, data, max_body):
+    async def _send_and_receive(self, method, headers, parts, max_body):
         """Write a long request and receive its answer concurrently."""
         self._has_unsent_bytes = True
         broken = None
@@ -198,7 +204,8 @@
         async def send():
             nonlocal broken
             try:
-                await self._stream.send_all(data)
+                for part in parts:
+                    await self._stream.send_all(part)
                 self._has_unsent_bytes = False
             except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
                 # The answer may have been sent before the server closed its side.
@@ -284,7 +291,7 @@
         finally:
             if self._memory is not None:
                 self._memory.release(reserved)
-        return bytes(body)
+        return bytes(body) if len(body) <= _MAX_COPIED_BODY_BYTES else body
 
     def _try_reserve(self, size):
         return self._memory is None or self._memory.try_reserve(size)
--- a/kumquatsaddle/dispatch/peers.py
+++ b/kumquatsaddle/dispatch/peers.py
@@ -232,7 +232,7 @@
     body.method = request.method
     body.target = request.target
     _write_headers(body, request.headers)
-    body.body = request.body
+    body.body = bytes(request.body)
     body.account = request.account
     body.service = request.service
     body.rank = int(request.rank)
@@ -249,7 +249,7 @@
     body.outcome = _OUTCOMES.index(answer.outcome)
     body.status = answer.status
     _write_headers(body, answer.headers)
-    body.body = answer.body
+    body.body = bytes(answer.body)
     body.reason = answer.reason.value if answer.reason else ""
     body.operation = answer.operation
     if answer.retry_after is not None:
--- a/kumquatsaddle/entry/answers.py
+++ b/kumquatsaddle/entry/answers.py
@@ -12,7 +12,7 @@
 from kumquatsaddle.exchange import Answer
 from kumquatsaddle.types import RefusalReason
 
-__all__ = ["encode_answer"]
+__all__ = ["encode_answer", "encode_answer_parts"]
 
 _OUTCOME_HEADER = b"Kumquatsaddle-Outcome"
 _REASON_HEADER = b"Kumquatsaddle-Reason"
@@ -67,15 +67,23 @@
         An answer that is not a valid response is replaced by one with the reason
         ANSWER_LOST, whose outcome is UNKNOWN.
     """
-    data = _encode_if_valid(answer, close, is_head)
-    if data is None:
+    return b"".join(encode_answer_parts(answer, close, is_head))
+
+
+def encode_answer_parts(answer, close=False, is_head=False):
+    """Return head and body of an HTTP response; see `encode_answer`.
+
+    The body is not copied.
+    """
+    parts = _encode_if_valid(answer, close, is_head)
+    if parts is None:
         replacement = Answer.from_reason(RefusalReason.ANSWER_LOST, answer.operation)
-        data = _encode_if_valid(replacement, close, is_head)
-    return data
+        parts = _encode_if_valid(replacement, close, is_head)
+    return parts
 
 
 def _encode_if_valid(answer, close, is_head):
-    """Return the bytes of a response, or None if it would not be valid."""
+    """Return head and body of a response, or None if it would not be valid."""
     status_line = _STATUS_LINES.get(answer.status)
     if status_line is None:
         return None
@@ -115,7 +123,7 @@
         header_lines
     ):
         return None
-    return b"".join((status_line, headers, b"\r\n", b"" if is_head else body))
+    return b"".join((status_line, headers, b"\r\n")), b"" if is_head else body
 
 
 def _read_content_length(headers):
--- a/kumquatsaddle/entry/caller_connections.py
+++ b/kumquatsaddle/entry/caller_connections.py
@@ -14,7 +14,7 @@
 
 import trio
 
-from kumquatsaddle.entry.answers import encode_answer
+from kumquatsaddle.entry.answers import encode_answer_parts
 from kumquatsaddle.entry.heads import RequestReadError, has_operation_header
 from kumquatsaddle.entry.request_reader import (
     CallerRequest,
@@ -245,7 +245,7 @@
         if self._closing:
             self._reader.scope.cancel()
         is_head = pending.request.method == "HEAD"
-        await self._write(encode_answer(pending.answer, self._closing, is_head))
+        await self._write(*encode_answer_parts(pending.answer, self._closing, is_head))
 
     def _finish_request(self, pending):
         self._pending.remove(pending)
@@ -264,7 +264,7 @@
             if has_operation_header(self._reader.raw_head)
             else Answer.from_reason
         )
-        await self._write(encode_answer(refuse(reason), close=True))
+        await self._write(*encode_answer_parts(refuse(reason), close=True))
         await self._input.linger(_LINGER_SECONDS)
 
     def _release_body_memory(self, size):
@@ -276,8 +276,14 @@
         pending = self._server.pending_bytes
         self._metrics.set_gauge("caller_pending_bytes", pending)
 
-    async def _write(self, data):
-        timeout = self._settings.get("limits", "write_timeout")
-        for start in range(0, len(data), _MAX_WRITE_BYTES):
-            with trio.fail_after(timeout):
-                await self._stream.send_all(data[start : start + _MAX_WRITE_BYTES])
+    async def _write(self, head, body=b""):
+        # One write for the head and the start of the body; the rest is not copied.
+        first = max(0, _MAX_WRITE_BYTES - len(head))
+        await self._write_part(head + body[:first])
+        view = memoryview(body)
+        for start in range(first, len(body), _MAX_WRITE_BYTES):
+            await self._write_part(view[start : start + _MAX_WRITE_BYTES])
+
+    async def _write_part(self, data):
+        with trio.fail_after(self._settings.get("limits", "write_timeout")):
+            await self._stream.send_all(data)
--- a/kumquatsaddle/entry/request_reader.py
+++ b/kumquatsaddle/entry/request_reader.py
@@ -24,6 +24,9 @@
 # Body chunks that are parsed before other tasks may run. The read-ahead buffer can hold
 # 10,000 chunks of one byte, which h11 takes 100 ms to parse.
 _EVENTS_BEFORE_YIELD = 64
+# Longer bodies are kept in the buffer in which they were received, because a copy would
+# double the memory of a body that takes a third of an instance's.
+_MAX_COPIED_BODY_BYTES = 65536
 
 
 class CallerRequest:
@@ -34,7 +37,7 @@
     method, target : str
     headers : list of (bytes, bytes)
         Names in lower case.
-    body : bytes
+    body : bytes or bytearray
     arrived_at : float, optional
         When its last byte was received, on the clock of trio in seconds; infinite if
         it is not known.
@@ -203,7 +206,7 @@
         while True:
             event = await self._read_body_event(length, len(body))
             if isinstance(event, h11.EndOfMessage):
-                return bytes(body)
+                return bytes(body) if len(body) <= _MAX_COPIED_BODY_BYTES else body
             # For a body in small chunks, a list of parts would take 40 times its size.
             body += event.data
             if len(body) > max_body_bytes:
