Bound the memory and the descriptors that clients occupy

Bodies, heads and answers were bounded one by one, by limits that do not know the machine: bodies that stop short, heads of very many fields, and page servers with 2,000 connections each exceeded its memory together.

It counts buffers, heads with their parsed fields, bodies, and answers until they are written. When it is used up, the connections furthest behind a reference rate are closed, else the newcomer is refused with 503 memory_limit, not run. [instance] descriptors gives one table of connections for all servers: a new connection replaces the one that has waited longest without a whole request. Pages ignore bodies. Without the two settings there is no bound, as before.

--- a/kumquatsaddle/entry/callers.py
+++ b/kumquatsaddle/entry/callers.py
@@ -6,6 +6,7 @@
 
 from kumquatsaddle.entry.answers import encode_answer
 from kumquatsaddle.entry.caller_connections import CallerConnection, CallerRequest
+from kumquatsaddle.entry.client_limits import make_client_limits
 from kumquatsaddle.entry.tls import make_caller_context
 from kumquatsaddle.exchange import Answer
 from kumquatsaddle.types import RefusalReason
@@ -16,6 +17,8 @@
 # Connections above the limit that are answered with a refusal at the same time; further
 # ones are closed without an answer.
 _MAX_CONCURRENT_REFUSALS = 64
+# The same for a process with a bound of its descriptors, which refusals use as well.
+_MAX_BOUNDED_REFUSALS = 4
 _REFUSAL_TIMEOUT_SECONDS = 2.0
 # Errors of accept that go away when other connections end, and the delay before accept
 # is called again.
@@ -33,12 +36,23 @@
     node : object
         Has the attributes ``settings`` and ``metrics``, as a `Node` has.
     proxy : object
-        Has the async method ``answer(caller_request)``, as a `Proxy` has.
+        Has the async method ``answer(caller_request)``, as a `Proxy` has, and may have
+        ``answer_head(caller_request)``, which returns the `Answer` if it depends on the
+        head of a request only, else None.
+    limits : ClientLimits, optional
+        Shared with the other servers of the process; default: own ones.
+    name : str, default="callers"
+        Key of ``[listen]`` of the address.
+    ignores_body : bool, default=False
+        Whether the answers depend on the heads of the requests only.
     """
 
-    def __init__(self, node, proxy):
+    def __init__(self, node, proxy, limits=None, name="callers", ignores_body=False):
         self.node = node
         self.proxy = proxy
+        self.limits = limits or make_client_limits(node.settings, node.metrics)
+        self.ignores_body = ignores_body
+        self._name = name
         self.leaving = False
         self.pending_bytes = 0
         self._connections = set()
@@ -106,15 +120,18 @@
     async def serve_connection(self, stream):
         """Serve one connection until it ends, then close it."""
         limit = self.node.settings.get("listen", "max_connections")
+        slots = self.limits.slots
+        slot = slots.open(self._name, trio.current_time(), limit)
         try:
-            if len(self._connections) >= limit:
+            if slot is None:
                 await self._refuse_connection(stream)
                 return
             if self._tls_context is not None:
                 stream = trio.SSLStream(
                     stream, self._tls_context, server_side=True, https_compatible=True
                 )
-            connection = CallerConnection(self, stream)
+            connection = CallerConnection(self, stream, slot)
+            slot.close = connection.close_for_descriptors
             self._connections.add(connection)
             self._update_connection_gauge()
             try:
@@ -123,6 +140,8 @@
                 self._connections.discard(connection)
                 self._update_connection_gauge()
         finally:
+            if slot is not None:
+                slots.close(slot)
             await trio.aclose_forcefully(stream)
 
     async def _accept(self, listener, nursery):
@@ -165,10 +184,9 @@
     async def _refuse_connection(self, stream):
         reason = RefusalReason.TOO_MANY_CONNECTIONS
         self.node.metrics.count_refusal(reason)
-        if (
-            self._active_refusals >= _MAX_CONCURRENT_REFUSALS
-            or self._tls_context is not None
-        ):
+        is_bounded = self.limits.slots.size is not None
+        most = _MAX_BOUNDED_REFUSALS if is_bounded else _MAX_CONCURRENT_REFUSALS
+        if self._active_refusals >= most or self._tls_context is not None:
             return
         self._active_refusals += 1
         try:
@@ -183,6 +201,6 @@
             self._active_refusals -= 1
 
 
-def make_caller_server(node, proxy):
-    """Return the server of a node for callers."""
-    return CallerServer(node, proxy)
+def make_caller_server(node, proxy, limits=None, name="callers", ignores_body=False):
+    """Return a server for callers; see `CallerServer`."""
+    return CallerServer(node, proxy, limits, name, ignores_body)
--- a/kumquatsaddle/entry/streams.py
+++ b/kumquatsaddle/entry/streams.py
@@ -8,15 +8,24 @@
 
 import trio
 
-__all__ = ["CallerStream"]
+__all__ = [
+    "BOUNDED_READ_AHEAD_BYTES",
+    "READ_AHEAD_BYTES",
+    "CallerStream",
+    "get_peer_host",
+]
 
-_MAX_RECEIVE_BYTES = 65536
 # Buffer size at which the reader stops reading, which makes the caller wait.
-_READ_AHEAD_BYTES = 65536
+READ_AHEAD_BYTES = 65536
 # Bytes received within this time of each other share one time of arrival.
 _ARRIVAL_RESOLUTION_SECONDS = 0.01
 
 
+# The same where the memory of clients is bounded. The buffer of a connection that sends
+# faster than its requests are read holds up to twice as much.
+BOUNDED_READ_AHEAD_BYTES = 16384
+
+
 class CallerStream:
     """Buffers the bytes that a caller sends.
 
@@ -25,6 +34,9 @@
     stream : trio.abc.Stream
     read_ahead_bytes : int, optional
         Buffer size at which the reader stops until bytes are taken.
+        At most as many are received at a time.
+    share : ConnectionShare, optional
+        Counts the bytes in the buffer.
 
     Attributes
     ----------
@@ -36,8 +48,9 @@
         Called without arguments when the caller ends the connection.
     """
 
-    def __init__(self, stream, read_ahead_bytes=_READ_AHEAD_BYTES):
+    def __init__(self, stream, read_ahead_bytes=READ_AHEAD_BYTES, share=None):
         self.stream = stream
+        self._share = share
         self.buffer = bytearray()
         self.ended = False
         self.on_end = lambda: None
@@ -61,13 +74,14 @@
         """
         try:
             while True:
-                data = await self.stream.receive_some(_MAX_RECEIVE_BYTES)
+                data = await self.stream.receive_some(self._read_ahead_bytes)
                 if not data:
                     break
                 if self._discarding:
                     continue
                 self.buffer += data
                 self._record_arrival(len(data))
+                self._count_received(len(data))
                 self._consumer_waiting = False
                 self._data_arrived.set()
                 while self._is_full():
@@ -92,6 +106,7 @@
         """Remove and return at most `count` bytes from the buffer."""
         taken = bytes(self.buffer) if count is None else bytes(self.buffer[:count])
         del self.buffer[: len(taken)]
+        self._count_taken(len(taken))
         self._taken_bytes += len(taken)
         self._space_available.set()
         return taken
@@ -105,6 +120,8 @@
         """Put the last bytes that were taken back at the start of the buffer."""
         self._taken_bytes -= len(data)
         self.buffer[:0] = data
+        if self._share is not None:
+            self._share.charge(len(data), trio.current_time())
 
     def find_arrival_time(self):
         """Return when the last byte taken had arrived, on the clock of trio.
@@ -138,6 +155,7 @@
             Maximum duration in seconds.
         """
         self._discarding = True
+        self._count_taken(len(self.buffer))
         self.buffer.clear()
         self._space_available.set()
         with trio.move_on_after(timeout):
@@ -151,6 +169,16 @@
             while not self.ended:
                 await self.wait_for_data()
 
+    def _count_received(self, size):
+        if self._share is not None:
+            now = trio.current_time()
+            self._share.record_progress(size, now)
+            self._share.charge(size, now)
+
+    def _count_taken(self, size):
+        if self._share is not None:
+            self._share.release(size)
+
     def _record_arrival(self, size):
         now = trio.current_time()
         self._received_bytes += size
@@ -163,3 +191,15 @@
         if self._consumer_waiting or self._discarding:
             return False
         return len(self.buffer) >= self._read_ahead_bytes
+
+
+def get_peer_host(stream):
+    """Return the IP address of the other side, or "" if it is not known."""
+    transport = getattr(stream, "transport_stream", stream)
+    socket = getattr(transport, "socket", None)
+    try:
+        address = socket.getpeername() if socket is not None else ""
+    except OSError:
+        # The other side has closed the connection.
+        return ""
+    return address[0] if isinstance(address, tuple) else ""
--- a/kumquatsaddle/lifecycle/node.py
+++ b/kumquatsaddle/lifecycle/node.py
@@ -19,6 +19,7 @@
 from kumquatsaddle.dispatch.peers import make_links
 from kumquatsaddle.dispatch.probes import watch_pools
 from kumquatsaddle.entry.callers import make_caller_server
+from kumquatsaddle.entry.client_limits import make_client_limits
 from kumquatsaddle.entry.control import make_control_server
 from kumquatsaddle.entry.operators import make_operators_server
 from kumquatsaddle.entry.proxy import make_proxy
@@ -73,6 +74,7 @@
         self.platform = platform or make_platform(settings)
         self.metrics = make_metrics()
         self.metrics.set_limits(settings)
+        self.client_limits = make_client_limits(settings, self.metrics)
         self.configuration = make_configuration()
         self.incarnation = make_incarnation()
         self.issuer = make_issuer(self.incarnation)
@@ -207,7 +209,7 @@
         await start_server(nursery, self.gossip.run, self.settings, "control")
         self.control = make_control_server(self)
         await start_server(nursery, self.control.run, self.settings, "control")
-        self.callers = make_caller_server(self, make_proxy(self))
+        self.callers = make_caller_server(self, make_proxy(self), self.client_limits)
         await start_server(nursery, self.callers.run, self.settings, "callers")
         await start_server(nursery, self.operators.run, self.settings, "operators")
         await self._load_initial_configuration()
--- a/kumquatsaddle/lifecycle/routed_node.py
+++ b/kumquatsaddle/lifecycle/routed_node.py
@@ -16,6 +16,7 @@
 from kumquatsaddle.discovery.records import InstanceRecord
 from kumquatsaddle.dispatch.protocol import BackendProtocol
 from kumquatsaddle.entry.callers import make_caller_server
+from kumquatsaddle.entry.client_limits import make_client_limits
 from kumquatsaddle.entry.operator_pages import PageSwitch, make_fatal_requests_page
 from kumquatsaddle.entry.routed import CallerProtocol, make_routed_proxy
 from kumquatsaddle.exceptions import PlatformUnavailableError, SettingsError
@@ -136,6 +137,7 @@
         self._service_selector = WeightedRoundRobin()
         self._pause_detector = make_pause_detector(_PAUSE_TICK_SECONDS)
         self._caller_config = _CallerServerConfig(settings, self.metrics)
+        self.client_limits = make_client_limits(settings, self.metrics)
         self._leaving = False
         self.callers = None
 
@@ -189,9 +191,13 @@
         nursery.start_soon(self._pause_detector.run)
         await start_server(nursery, self._run_exchange, self.settings, "control")
         for key, page in self._make_pages().items():
-            server = make_caller_server(self._caller_config, page)
+            server = make_caller_server(
+                self._caller_config, page, self.client_limits, key, ignores_body=True
+            )
             await start_server(nursery, server.run, self.settings, key)
-        self.callers = make_caller_server(self._caller_config, proxy)
+        self.callers = make_caller_server(
+            self._caller_config, proxy, self.client_limits
+        )
         await start_server(nursery, self.callers.run, self.settings, "callers")
         nursery.start_soon(self.follower.run)
         nursery.start_soon(self._register)
--- a/kumquatsaddle/types.py
+++ b/kumquatsaddle/types.py
@@ -34,6 +34,7 @@
     "ImpairmentReason",
     "MessageRejection",
     "LinkRefusal",
+    "ClientClosure",
 ]
 
 InstanceId = NewType("InstanceId", str)
@@ -80,6 +81,8 @@
     REQUEST_TIMEOUT = "request_timeout"
     TOO_MANY_CONNECTIONS = "too_many_connections"
     BODIES_TOO_LARGE = "bodies_too_large"
+    # The memory for clients is used up, or the connection was closed for others.
+    MEMORY_LIMIT = "memory_limit"
     UNAUTHORIZED = "unauthorized"
     UNKNOWN_ACCOUNT = "unknown_account"
     UNKNOWN_ROUTE = "unknown_route"
@@ -219,6 +222,15 @@
     OVERLOAD = "overload"
 
 
+class ClientClosure(Enum):
+    """Why a connection of a client was closed in favor of others."""
+
+    # It was furthest behind when the memory for clients was used up.
+    MEMORY = "memory"
+    # It had waited longest when the descriptors for clients were used up.
+    DESCRIPTORS = "descriptors"
+
+
 class LinkRefusal(Enum):
     """Why a connection to the control address was closed by this instance."""
 
