Count answers within the memory for clients until they are written

An answer was counted while it was received from the backend server, and then no more: answers that callers do not read took 96 to 205 MB for 64 connections, with a bound of 32 MB.

An answer now reserves its memory as a whole if its length is known, and keeps the reservation until the connection of its caller counts it. If there is none, it waits up to a second, while connections that stopped reading are closed; their memory counts as used until they have ended. Connections do not pipeline while more than half of the budget is used.

--- a/kumquatsaddle/dispatch/answers.py
+++ b/kumquatsaddle/dispatch/answers.py
@@ -2,6 +2,8 @@
 
 import re
 
+import trio
+
 __all__ = [
     "HOP_BY_HOP_HEADERS",
     "AnswerMemory",
@@ -12,6 +14,10 @@
 ]
 
 _DEFAULT_ANSWER_MEMORY_BYTES = 1 << 26
+# Maximum wait of an answer for memory, and the interval of its attempts. Callers that
+# stopped reading are closed after a quarter of a second if others need their memory.
+_MAX_WAIT_SECONDS = 1.0
+_POLL_SECONDS = 0.01
 # Statuses of answers without a body (RFC 9110, section 6.4.1).
 _BODILESS_STATUSES = frozenset({204, 304})
 _KEEP_ALIVE_TIMEOUT_PATTERN = re.compile(rb"timeout=([0-9]{1,6})")
@@ -62,22 +68,52 @@
     ----------
     used_bytes : int
         Bodies of the answers that are being received.
+    share : ConnectionShare or None
+        Counts these bodies within the memory for clients of the process.
     """
 
     def __init__(self, max_bytes=_DEFAULT_ANSWER_MEMORY_BYTES):
         self.max_bytes = max_bytes
         self.used_bytes = 0
+        self.share = None
+
+    def is_bounded(self):
+        """Return whether answers share a bounded memory with clients."""
+        return self.share is not None and self.share.is_bounded()
 
     def try_reserve(self, size):
         """Reserve memory; return False if the limit does not allow it."""
         if self.used_bytes + size > self.max_bytes:
             return False
+        if self.share is not None and not self.share.try_charge(
+            size, trio.current_time()
+        ):
+            return False
         self.used_bytes += size
         return True
 
+    async def reserve(self, size):
+        """Reserve memory; return False if the limit does not allow it.
+
+        Where answers share the memory for clients, waits a bounded time for callers to
+        take earlier answers: the request has run already, so a refusal would lose it.
+        """
+        if self.try_reserve(size):
+            return True
+        if not self.is_bounded():
+            return False
+        with trio.move_on_after(_MAX_WAIT_SECONDS):
+            while True:
+                await trio.sleep(_POLL_SECONDS)
+                if self.try_reserve(size):
+                    return True
+        return False
+
     def release(self, size):
         """Return reserved memory."""
         self.used_bytes -= size
+        if self.share is not None:
+            self.share.release(size)
 
 
 def select_headers(method, headers):
--- a/kumquatsaddle/dispatch/connections.py
+++ b/kumquatsaddle/dispatch/connections.py
@@ -19,6 +19,7 @@
     read_keep_alive,
     select_headers,
 )
+from kumquatsaddle.dispatch.bodies import receive_body
 from kumquatsaddle.dispatch.protocol import DEFAULT_PROTOCOL, MISDIRECTED_STATUS
 from kumquatsaddle.exceptions import KumquatsaddleError
 from kumquatsaddle.types import RefusalReason
@@ -30,12 +31,11 @@
 ]
 
 _READ_BYTES = 65536
+# The same where the memory of answers is bounded: the parser keeps as much again.
+_BOUNDED_READ_BYTES = 16384
 _MAX_HEAD_BYTES = 65536
 # What every answer starts with (RFC 9112, section 4).
 _ANSWER_START = b"HTTP/1."
-# Parts of a body that are parsed before other tasks may run. One read may hold 10,000
-# chunks of one byte, which h11 takes 100 ms to parse.
-_EVENTS_BEFORE_YIELD = 64
 # Informational answers (1xx) accepted before the final one.
 _MAX_INFORMATIONAL = 16
 # A server may echo this header of a request in its answer (see `exchange`).
@@ -43,8 +43,6 @@
 # Longest request that is written whole before the answer is read. A server may answer a
 # longer one before it has read all of it, and read the rest later.
 _MAX_WRITE_FIRST_BYTES = 4096
-# Longer bodies of answers are kept in the buffer in which they were received.
-_MAX_COPIED_BODY_BYTES = 65536
 # Answers to other requests that are skipped before the matching one.
 _MAX_SKIPPED_ANSWERS = 8
 # Value of SO_LINGER that makes a close reset the connection.
@@ -264,38 +262,13 @@
                 RefusalReason.ANSWER_TRUNCATED,
                 "answer has missing or ambiguous framing",
             )
-        body = await self._receive_body(max_body)
+        body = await receive_body(
+            self._next_event, self._make_error, head.headers, max_body, self._memory
+        )
         self.keep_alive = read_keep_alive(head.headers)
         headers = select_headers(method, head.headers)
         return RawAnswer(head.status_code, headers, body)
 
-    async def _receive_body(self, max_body):
-        # For a body in small chunks, a list of parts would take 40 times its size.
-        body, events, reserved = bytearray(), 0, 0
-        try:
-            while not isinstance(event := await self._next_event(), h11.EndOfMessage):
-                if not isinstance(event, h11.Data):
-                    raise self._make_error(
-                        RefusalReason.ANSWER_TRUNCATED, "answer is incomplete"
-                    )
-                size = len(event.data)
-                if len(body) + size > max_body or not self._try_reserve(size):
-                    raise self._make_error(
-                        RefusalReason.ANSWER_TOO_LARGE, len(body) + size
-                    )
-                reserved += size
-                body += event.data
-                events += 1
-                if events % _EVENTS_BEFORE_YIELD == 0:
-                    await trio.lowlevel.checkpoint()
-        finally:
-            if self._memory is not None:
-                self._memory.release(reserved)
-        return bytes(body) if len(body) <= _MAX_COPIED_BODY_BYTES else body
-
-    def _try_reserve(self, size):
-        return self._memory is None or self._memory.try_reserve(size)
-
     async def _receive_head(self):
         await self._check_start()
         for _ in range(_MAX_INFORMATIONAL + 1):
@@ -330,7 +303,9 @@
 
     async def _receive_data(self):
         """Receive bytes into the parser; return them, or b"" at the end."""
-        data = await self._stream.receive_some(_READ_BYTES)
+        is_bounded = self._memory is not None and self._memory.is_bounded()
+        size = _BOUNDED_READ_BYTES if is_bounded else _READ_BYTES
+        data = await self._stream.receive_some(size)
         self._answered = self._answered or bool(data)
         self._parser.receive_data(data)
         return data
--- a/kumquatsaddle/entry/caller_connections.py
+++ b/kumquatsaddle/entry/caller_connections.py
@@ -14,6 +14,7 @@
 
 import trio
 
+from kumquatsaddle.dispatch.bodies import hand_over_body
 from kumquatsaddle.entry.answers import encode_answer_parts
 from kumquatsaddle.entry.heads import RequestReadError, has_operation_header
 from kumquatsaddle.entry.memory_budget import CONNECTION_BYTES, TLS_CONNECTION_BYTES
@@ -37,6 +38,8 @@
 
 # The write timeout applies to each part of an answer of this size.
 _MAX_WRITE_BYTES = 65536
+# Start of a body that is copied to be written with its head in one segment.
+_MAX_JOINED_BYTES = 16384
 # Maximum time for a caller to close its side after the last answer.
 _LINGER_SECONDS = 2.0
 # Requests of one connection that run or wait for their turn to be answered.
@@ -45,6 +48,9 @@
 _PROGRESS_BYTES = 4096
 # Stalled connections give their memory back within this time when others need it.
 _RETRY_AFTER_SECONDS = {RefusalReason.MEMORY_LIMIT: 0.5}
+# Interval and number of attempts to reserve memory while stalled connections close.
+_ROOM_POLL_SECONDS = 0.005
+_MAX_ROOM_POLLS = 40
 # Bodies of answers that wait for earlier ones, above which no request is started.
 _MAX_WAITING_ANSWER_BYTES = 1 << 20
 
@@ -110,7 +116,7 @@
             self._metrics.count("caller_connections_failed")
             log_event("caller_connection_failed", level="ERROR", error=repr(error))
         finally:
-            self._release_body_memory(self._unstarted_bytes)
+            self._release_unstarted()
             self._share.end()
 
     def close_if_idle(self):
@@ -122,7 +128,7 @@
         """Return whether a request was started whose answer is not sent yet."""
         return bool(self._pending)
 
-    def reserve_body_memory(self, size):
+    async def reserve_body_memory(self, size):
         """Count `size` bytes of the body of the request that is read.
 
         Raises
@@ -130,7 +136,7 @@
         RequestReadError
             If the bodies of all connections exceed their limit.
         """
-        self._reserve(size)
+        await self._reserve(size)
         self._unstarted_bytes += size
         if size >= _PROGRESS_BYTES:
             self._mark_waiting()
@@ -139,7 +145,7 @@
         if self._server.pending_bytes > self._settings.get("limits", "pending_bytes"):
             raise RequestReadError(RefusalReason.BODIES_TOO_LARGE)
 
-    def reserve_memory(self, size):
+    async def reserve_memory(self, size):
         """Count the memory of the head of the request that is read.
 
         Raises
@@ -147,7 +153,7 @@
         RequestReadError
             If there is no memory for it.
         """
-        self._reserve(size)
+        await self._reserve(size)
         self._unstarted_head_bytes += size
         self._mark_waiting()
 
@@ -196,9 +202,14 @@
         else:
             self._scope.cancel()
 
-    def _reserve(self, size):
-        if not self._share.try_charge(size, trio.current_time()):
-            raise RequestReadError(RefusalReason.MEMORY_LIMIT)
+    async def _reserve(self, size):
+        for _ in range(_MAX_ROOM_POLLS):
+            if self._share.try_charge(size, trio.current_time()):
+                return
+            if not self._limits.memory.is_making_room():
+                break
+            await trio.sleep(_ROOM_POLL_SECONDS)
+        raise RequestReadError(RefusalReason.MEMORY_LIMIT)
 
     def _mark_waiting(self):
         self._limits.slots.mark_waiting(self._slot, trio.current_time())
@@ -276,7 +287,7 @@
             return False
         if self._waiting_answer_bytes > _MAX_WAITING_ANSWER_BYTES:
             return False
-        if self._share.is_large():
+        if not self._share.allows_pipelining():
             return False
         allows_overlap = self._server.proxy.allows_overlap
         return allows_overlap(request) and allows_overlap(self._pending[-1].request)
@@ -305,6 +316,7 @@
                 self._aborted = True
                 return
             charged_bytes = len(pending.answer.body)
+            hand_over_body(pending.answer.body)
             self._share.charge(charged_bytes, trio.current_time())
             if pending.previous is not None:
                 answer_bytes = len(pending.answer.body)
@@ -339,6 +351,7 @@
 
     async def _send_refusal(self, reason):
         self._metrics.count_refusal(reason)
+        self._release_unstarted()
         # An earlier request with the same operation id or key may have run, so the
         # answer to one of these must not be NOT_RUN.
         if has_operation_header(self._reader.raw_head):
@@ -349,6 +362,12 @@
         await self._write(*encode_answer_parts(answer, close=True))
         await self._input.linger(_LINGER_SECONDS)
 
+    def _release_unstarted(self):
+        """Return the memory of a request that will not be started."""
+        self._release_body_memory(self._unstarted_bytes)
+        self._share.release(self._unstarted_head_bytes)
+        self._unstarted_bytes = self._unstarted_head_bytes = 0
+
     def _release_body_memory(self, size):
         if size:
             self._share.release(size)
@@ -361,7 +380,7 @@
 
     async def _write(self, head, body=b""):
         # One write for the head and the start of the body; the rest is not copied.
-        first = max(0, _MAX_WRITE_BYTES - len(head))
+        first = min(len(body), _MAX_JOINED_BYTES)
         self._writing = True
         self._share.begin(trio.current_time())
         await self._write_part(head + body[:first])
--- a/kumquatsaddle/entry/memory_budget.py
+++ b/kumquatsaddle/entry/memory_budget.py
@@ -31,6 +31,8 @@
 _SMALL_BYTES = 131072
 # Part of the budget that the pipelined requests of one connection may occupy.
 _PIPELINE_SHARE = 0.1
+# Use of the budget above which connections run one request at a time.
+_TIGHT_SHARE = 0.5
 # Tasks, buffers and sockets of a connection, measured with idle connections.
 CONNECTION_BYTES = 16384
 # With the buffers of OpenSSL; measured during handshakes.
@@ -50,8 +52,8 @@
     Parameters
     ----------
     budget : MemoryBudget
-    peer : str
-        IP address of the other side.
+    peer : str or None
+        IP address of the other side; None for memory of the process itself.
     close : callable
         Called without arguments to end the connection; it releases its memory soon.
     """
@@ -78,9 +80,15 @@
         """Count `size` bytes less."""
         self._budget.release(self, size)
 
-    def is_large(self):
-        """Return whether the connection holds so much that it should start no more."""
-        return self.held > _PIPELINE_SHARE * self._budget.size
+    def is_bounded(self):
+        """Return whether the budget has a bound at all."""
+        return self._budget.is_bounded()
+
+    def allows_pipelining(self):
+        """Return whether there is memory to run another request of the connection."""
+        if self._budget.used > _TIGHT_SHARE * self._budget.size:
+            return False
+        return self.held <= _PIPELINE_SHARE * self._budget.size
 
     def begin(self, now):
         """Record that the caller has to send or to read from now on."""
@@ -117,12 +125,14 @@
     Attributes
     ----------
     used : int
-        Bytes of all connections that are not being closed.
+        Bytes of all connections.
+    closing : int
+        Bytes of the connections that are being closed; they are free soon.
     """
 
     def __init__(self, size):
         self.size = size
-        self.used = 0
+        self.used = self.closing = 0
         self._shares = set()
         self._used_by_peer = {}
 
@@ -130,6 +140,12 @@
         """Return whether there is a bound at all."""
         return self.size < math.inf
 
+    def open_own_share(self):
+        """Return a `ConnectionShare` for answers that this process receives."""
+        share = ConnectionShare(self, None, None)
+        self._shares.add(share)
+        return share
+
     def open_share(self, peer, close, size, now):
         """Return the `ConnectionShare` of a new connection, with `size` bytes."""
         share = ConnectionShare(self, peer, close)
@@ -142,16 +158,23 @@
         self.release(share, share.held)
         self._shares.discard(share)
 
+    def is_making_room(self):
+        """Return whether memory becomes free soon, so that it is worth waiting."""
+        return self.closing > 0
+
     def try_charge(self, share, size, now):
         """Count `size` more bytes of a connection if they fit.
 
         Returns
         -------
         bool
+            If not, other connections may have been closed, see `is_making_room`.
         """
         if share.closing:
             return False
-        if not self._make_room(share, size, now):
+        room = self._get_room(share, size)
+        if self.used + size > room:
+            self._make_room(share, size, room, now)
             return False
         self._add(share, size)
         return True
@@ -159,8 +182,8 @@
     def charge(self, share, size, now):
         """Count bytes that are already there; others may be closed for them."""
         self._add(share, size)
-        if self.used > self.size:
-            self._make_room(share, 0, now)
+        if self.used - self.closing > self.size:
+            self._make_room(share, 0, self.size, now)
 
     def release(self, share, size):
         """Count `size` bytes less."""
@@ -168,27 +191,31 @@
 
     def _add(self, share, size):
         share.held += size
+        self.used += size
         if share.closing:
-            # Counted as free since the decision to close it.
+            self.closing += size
+        if share.peer is None:
             return
-        self.used += size
         used = self._used_by_peer.get(share.peer, 0) + size
         if used > 0:
             self._used_by_peer[share.peer] = used
         else:
             self._used_by_peer.pop(share.peer, None)
 
-    def _make_room(self, share, size, now):
-        """Close other connections until `size` bytes fit; return whether they do."""
+    def _get_room(self, share, size):
         is_small = share.held + size <= _SMALL_BYTES
-        room = self.size if is_small else self.size * (1 - _RESERVED_SHARE)
-        if self.used + size <= room:
-            return True
+        return self.size if is_small else self.size * (1 - _RESERVED_SHARE)
+
+    def _make_room(self, share, size, room, now):
+        """Close other connections until `size` bytes will fit, as far as possible."""
+        wanted = self.used - self.closing + size - room
+        if wanted <= 0:
+            return
         for victim in self._order_victims(share, now):
+            wanted -= victim.held
             self._close(victim)
-            if self.used + size <= room:
-                return True
-        return False
+            if wanted <= 0:
+                return
 
     def _order_victims(self, newcomer, now):
         """Return the connections that may be closed for another one, in order.
@@ -198,13 +225,18 @@
         """
         used_by_newcomer = self._used_by_peer.get(newcomer.peer, 0)
         fair_share = self.size / max(1, len(self._used_by_peer))
+        if newcomer.peer is None:
+            # Answers that are received replace stalled connections only.
+            fair_share = 0
         victims = []
         for share in self._shares:
             if share is newcomer or share.closing:
                 continue
             lag = share.get_lag(now)
+            if share.peer is None or lag == -math.inf:
+                continue
             used_by_peer = self._used_by_peer[share.peer]
-            if lag == -math.inf or used_by_peer < used_by_newcomer:
+            if used_by_peer < used_by_newcomer:
                 continue
             if lag >= _MIN_LAG_SECONDS or used_by_newcomer < fair_share < used_by_peer:
                 victims.append((lag, share))
@@ -212,9 +244,8 @@
         return [share for _, share in victims]
 
     def _close(self, share):
-        held = share.held
-        self._add(share, -held)
-        share.held, share.closing = held, True
+        share.closing = True
+        self.closing += share.held
         share.close()
 
 
--- a/kumquatsaddle/entry/request_reader.py
+++ b/kumquatsaddle/entry/request_reader.py
@@ -113,10 +113,11 @@
     caller_input : CallerStream
     settings : Settings
     connection : object
-        Has the methods ``has_pending()``, ``reserve_memory(size)``,
-        ``reserve_body_memory(size)``, ``needs_no_body(request)``, ``begin_reading()``,
-        ``end_reading()`` and the async methods ``wait_for_parse_turn()`` and
-        ``send_interim_response(data)``, as a `CallerConnection` has.
+        Has the methods ``has_pending()``, ``needs_no_body(request)``,
+        ``begin_reading()``, ``end_reading()`` and the async methods
+        ``reserve_memory(size)``, ``reserve_body_memory(size)``,
+        ``wait_for_parse_turn()`` and ``send_interim_response(data)``, as a
+        `CallerConnection` has.
 
     Attributes
     ----------
@@ -181,7 +182,7 @@
             If it is refused, or the caller has gone.
         """
         head, length = await self._read_head()
-        self._connection.reserve_memory(estimate_head_bytes(head))
+        await self._connection.reserve_memory(estimate_head_bytes(head))
         if head.count(b"\n") > _FIELDS_BEFORE_YIELD:
             await self._connection.wait_for_parse_turn()
         self._parser = h11.Connection(h11.SERVER)
@@ -260,7 +261,7 @@
                 return bytes(body) if len(body) <= _MAX_COPIED_BODY_BYTES else body
             if len(body) + len(part) > max_body_bytes:
                 raise RequestReadError(RefusalReason.BODY_TOO_LARGE)
-            self._connection.reserve_body_memory(len(part))
+            await self._connection.reserve_body_memory(len(part))
             # For a body in small chunks, a list of parts would take 40 times its size.
             body += part
             self.scope.deadline = started + timeout + len(body) / rate
--- a/kumquatsaddle/lifecycle/node.py
+++ b/kumquatsaddle/lifecycle/node.py
@@ -87,6 +87,7 @@
             self.metrics, settings.get("limits", "answer_bytes")
         )
         apply_answer_limits(self.dispatcher, settings)
+        self.dispatcher.answer_memory.share = self.client_limits.memory.open_own_share()
         self._make_membership()
         self.pause_detector = make_pause_detector()
         self.links = None
--- a/kumquatsaddle/lifecycle/routed_node.py
+++ b/kumquatsaddle/lifecycle/routed_node.py
@@ -112,6 +112,7 @@
             settings.get("listen", "callers"),
             settings.get("listen", "control"),
         )
+        self.client_limits = make_client_limits(settings, self.metrics)
         self.peers = PeerTable(self.own)
         self.dispatcher = make_balanced_dispatcher(
             self.own.zone,
@@ -124,6 +125,7 @@
         )
         self.dispatcher.retry_limits.instances = _INITIAL_INSTANCE_COUNT
         apply_answer_limits(self.dispatcher, settings)
+        self.dispatcher.answer_memory.share = self.client_limits.memory.open_own_share()
         self.follower = make_follower(
             parts.store, self.peers, self._update_servers, self._update_routes
         )
@@ -137,7 +139,6 @@
         self._service_selector = WeightedRoundRobin()
         self._pause_detector = make_pause_detector(_PAUSE_TICK_SECONDS)
         self._caller_config = _CallerServerConfig(settings, self.metrics)
-        self.client_limits = make_client_limits(settings, self.metrics)
         self._leaving = False
         self.callers = None
 
