Decide on the head of a request before its body is read

A body was read whole before the route, the account and the path were checked, so a path without a route kept as much memory as a served one.

A proxy may have answer_head, which refuses from the head alone: no routes yet, no route, no valid key.

--- a/kumquatsaddle/entry/proxy.py
+++ b/kumquatsaddle/entry/proxy.py
@@ -82,6 +82,25 @@
             self._node.metrics.count_refusal(answer.reason)
         return answer
 
+    def answer_head(self, caller_request):
+        """Return the answer to a request if it does not depend on its body, or None.
+
+        Parameters
+        ----------
+        caller_request : CallerRequest
+            Its body has not been read.
+        """
+        if caller_request.target.startswith(RESERVED_PREFIX):
+            return answer_reserved(
+                self._node, caller_request.method, caller_request.target
+            )
+        try:
+            self._resolve_request(caller_request, trio.current_time())
+        except RefusedError as error:
+            self._node.metrics.count_refusal(error.reason)
+            return self.refuse_unresolved(caller_request.headers, error.reason)
+        return None
+
     def allows_overlap(self, caller_request):
         """Return whether a request may run beside others of its connection.
 
--- a/kumquatsaddle/entry/routed.py
+++ b/kumquatsaddle/entry/routed.py
@@ -117,6 +117,26 @@
             answer = self._add_refusal_headers(answer, request_id)
         return answer
 
+    def answer_head(self, caller_request):
+        """Return the refusal of a request that needs no body for it, or None.
+
+        Parameters
+        ----------
+        caller_request : CallerRequest
+            Its body has not been read.
+        """
+        table = self._get_routes()
+        reason = _find_head_refusal(table, caller_request)
+        if reason is None:
+            return None
+        request_id = (
+            _get_first_value(caller_request.headers, self._protocol.request_id) or b""
+        )
+        version = table.version if table is not None else ""
+        self._metrics.count_refusal(reason)
+        answer = self._refuse(request_id, reason, version)
+        return self._add_refusal_headers(answer, request_id)
+
     def allows_overlap(self, caller_request):
         """Return whether a request may run beside others of its connection.
 
@@ -210,6 +230,21 @@
     return table.match_route(host.decode("latin-1"), path)
 
 
+def _find_head_refusal(table, caller_request):
+    """Return why a request is refused whatever its body is, or None."""
+    if table is None:
+        return RefusalReason.NOT_READY
+    route = _match_route(table, caller_request)
+    if route is None:
+        return RefusalReason.UNKNOWN_ROUTE
+    if table.accounts is not None and not route.public:
+        try:
+            authenticate(caller_request.headers, table.accounts)
+        except RefusedError as error:
+            return error.reason
+    return None
+
+
 def _get_first_value(headers, wanted_name):
     for name, value in headers:
         if name == wanted_name:
