--- a/kumquatsaddle/dispatch/connections.py
+++ b/kumquatsaddle/dispatch/connections.py
@@ -19,6 +19,7 @@
     read_keep_alive,
     select_headers,
 )
+from kumquatsaddle.dispatch.bodies import receive_body
 from kumquatsaddle.dispatch.protocol import DEFAULT_PROTOCOL, MISDIRECTED_STATUS
 from kumquatsaddle.exceptions import KumquatsaddleError
 from kumquatsaddle.types import RefusalReason
@@ -30,12 +31,11 @@
 ]
 
 _READ_BYTES = 65536
+# The same where the memory of answers is bounded: the parser keeps as much again.
+_BOUNDED_READ_BYTES = 16384
 _MAX_HEAD_BYTES = 65536
 # What every answer starts with (RFC 9112, section 4).
 _ANSWER_START = b"HTTP/1."
-# Parts of a body that are parsed before other tasks may run. One read may hold 10,000
-# chunks of one byte, which h11 takes 100 ms to parse.
-_EVENTS_BEFORE_YIELD = 64
 # Informational answers (1xx) accepted before the final one.
 _MAX_INFORMATIONAL = 16
 # A server may echo this header of a request in its answer (see `exchange`).
@@ -120,7 +120,8 @@
         ----------
         method, target : str
         headers : list of (bytes, bytes)
-        body : bytes
+        body : bytes or bytearray
+            Must not change during the exchange; a long one is written without a copy.
         max_body : int
             Longest body of an answer, in bytes.
         before_write : callable
@@ -149,14 +150,14 @@
         # or a cancellation before that leaves the connection unusable.
         self._answered = False
         self._memory = memory
-        data = self._encode(method, target, headers, body)
+        parts = self._encode(method, target, headers, body)
         before_write()
         try:
-            if len(data) <= _MAX_WRITE_FIRST_BYTES:
-                await self._stream.send_all(data)
+            if sum(map(len, parts)) <= _MAX_WRITE_FIRST_BYTES:
+                await self._stream.send_all(b"".join(parts))
                 answer = await self._receive_matching(method, headers, max_body)
             else:
-                answer = await self._send_and_receive(method, headers, data, max_body)
+                answer = await self._send_and_receive(method, headers, parts, max_body)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise self._make_error(RefusalReason.ANSWER_LOST, error) from None
         except h11.RemoteProtocolError as error:
@@ -181,16 +182,19 @@
         await trio.aclose_forcefully(self._stream)
 
     def _encode(self, method, target, headers, body):
+        """Return the bytes of a request in parts, of which the body is not copied."""
         try:
             request = h11.Request(method=method, target=target, headers=headers)
-            data = self._parser.send(request)
+            parts = [self._parser.send(request)]
             if body:
-                data += self._parser.send(h11.Data(data=body))
-            return data + self._parser.send(h11.EndOfMessage())
+                data = h11.Data(data=body)
+                parts += self._parser.send_with_data_passthrough(data)
+            end = self._parser.send(h11.EndOfMessage())
+            return [*parts, end] if end else parts
         except h11.LocalProtocolError as error:
             raise ExchangeError(RefusalReason.BAD_REQUEST, False, error) from None
 
-    async def _send_and_receive(self, method, headers, data, max_body):
+    async def _send_and_receive(self, method, headers, parts, max_body):
         """Write a long request and receive its answer concurrently."""
         self._has_unsent_bytes = True
         broken = None
@@ -198,7 +202,8 @@
         async def send():
             nonlocal broken
             try:
-                await self._stream.send_all(data)
+                for part in parts:
+                    await self._stream.send_all(part)
                 self._has_unsent_bytes = False
             except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
                 # The answer may have been sent before the server closed its side.
@@ -257,38 +262,13 @@
                 RefusalReason.ANSWER_TRUNCATED,
                 "answer has missing or ambiguous framing",
             )
-        body = await self._receive_body(max_body)
+        body = await receive_body(
+            self._next_event, self._make_error, head.headers, max_body, self._memory
+        )
         self.keep_alive = read_keep_alive(head.headers)
         headers = select_headers(method, head.headers)
         return RawAnswer(head.status_code, headers, body)
 
-    async def _receive_body(self, max_body):
-        # For a body in small chunks, a list of parts would take 40 times its size.
-        body, events, reserved = bytearray(), 0, 0
-        try:
-            while not isinstance(event := await self._next_event(), h11.EndOfMessage):
-                if not isinstance(event, h11.Data):
-                    raise self._make_error(
-                        RefusalReason.ANSWER_TRUNCATED, "answer is incomplete"
-                    )
-                size = len(event.data)
-                if len(body) + size > max_body or not self._try_reserve(size):
-                    raise self._make_error(
-                        RefusalReason.ANSWER_TOO_LARGE, len(body) + size
-                    )
-                reserved += size
-                body += event.data
-                events += 1
-                if events % _EVENTS_BEFORE_YIELD == 0:
-                    await trio.lowlevel.checkpoint()
-        finally:
-            if self._memory is not None:
-                self._memory.release(reserved)
-        return bytes(body)
-
-    def _try_reserve(self, size):
-        return self._memory is None or self._memory.try_reserve(size)
-
     async def _receive_head(self):
         await self._check_start()
         for _ in range(_MAX_INFORMATIONAL + 1):
@@ -323,7 +303,9 @@
 
     async def _receive_data(self):
         """Receive bytes into the parser; return them, or b"" at the end."""
-        data = await self._stream.receive_some(_READ_BYTES)
+        is_bounded = self._memory is not None and self._memory.is_bounded()
+        size = _BOUNDED_READ_BYTES if is_bounded else _READ_BYTES
+        data = await self._stream.receive_some(size)
         self._answered = self._answered or bool(data)
         self._parser.receive_data(data)
         return data
--- a/kumquatsaddle/entry/routed.py
+++ b/kumquatsaddle/entry/routed.py
@@ -130,6 +130,27 @@
             answer = self._add_refusal_headers(answer, request_id)
         return answer
 
+    def answer_head(self, caller_request):
+        """Return the refusal of a request that needs no body for it, or None.
+
+        Parameters
+        ----------
+        caller_request : CallerRequest
+            Its body has not been read.
+        """
+        table = self._get_routes()
+        try:
+            self._check_head(caller_request, table)
+        except RefusedError as error:
+            request_id = (
+                _get_first_value(caller_request.headers, self._protocol.request_id)
+                or b""
+            )
+            self._metrics.count_refusal(error.reason)
+            answer = self._refuse(request_id, error, table)
+            return self._add_refusal_headers(answer, request_id)
+        return None
+
     def allows_overlap(self, caller_request):
         """Return whether a request may run beside others of its connection.
 
@@ -146,21 +167,12 @@
             trio.current_time() - self._get_arrival_delay(), caller_request.arrived_at
         )
         table = self._get_routes()
-        if table is None:
-            return self._refuse(request_id, RefusalReason.NOT_READY)
-        route = _match_route(table, caller_request)
-        if route is None:
-            return self._refuse(request_id, RefusalReason.UNKNOWN_ROUTE, table.version)
+        try:
+            route, account, key_digest = self._check_head(caller_request, table)
+        except RefusedError as error:
+            return self._refuse(request_id, error, table)
         headers = _select_end_to_end_headers(caller_request.headers)
-        account = key_digest = None
         if table.accounts is not None:
-            if not route.public:
-                try:
-                    account, key_digest = self._authenticate(caller_request, table)
-                except RefusedError as error:
-                    return self._refuse(
-                        request_id, error.reason, table.version, error.detail
-                    )
             headers = self._remove_account_headers(headers)
         timeout = self._read_timeout(caller_request.headers)
         request = RoutedRequest(
@@ -182,6 +194,23 @@
         self._metrics.observe_latency(request.rank, trio.current_time() - arrived)
         return answer
 
+    def _check_head(self, caller_request, table):
+        """Return the route of a request, its account and the digest of its API key.
+
+        Raises
+        ------
+        RefusedError
+            If the request cannot run, whatever its body is.
+        """
+        if table is None:
+            raise RefusedError(RefusalReason.NOT_READY)
+        route = _match_route(table, caller_request)
+        if route is None:
+            raise RefusedError(RefusalReason.UNKNOWN_ROUTE)
+        if table.accounts is None or route.public:
+            return route, None, None
+        return route, *self._authenticate(caller_request, table)
+
     def _authenticate(self, caller_request, table):
         """Return the account of a request and the digest of its API key.
 
@@ -212,15 +241,16 @@
             self._quotas.give_back(account)
         return answer
 
-    def _refuse(self, request_id, reason, version="", detail=""):
+    def _refuse(self, request_id, error, table):
+        """Log a `RefusedError` and return the answer to the request."""
         log_event(
             "request_refused",
             id=request_id.decode("latin-1"),
-            reason=reason.value,
-            detail=detail,
-            version=version,
+            reason=error.reason.value,
+            detail=error.detail,
+            version=table.version if table is not None else "",
         )
-        return Answer.from_reason(reason)
+        return Answer.from_reason(error.reason)
 
     def _remove_account_headers(self, headers):
         """Return headers without the API key and the account that the caller sent."""
--- a/kumquatsaddle/lifecycle/routed_node.py
+++ b/kumquatsaddle/lifecycle/routed_node.py
@@ -19,6 +19,7 @@
 from kumquatsaddle.discovery.records import InstanceRecord
 from kumquatsaddle.dispatch.protocol import BackendProtocol
 from kumquatsaddle.entry.callers import make_caller_server
+from kumquatsaddle.entry.client_limits import make_client_limits
 from kumquatsaddle.entry.operator_pages import (
     PageSwitch,
     make_fatal_requests_page,
@@ -118,6 +119,7 @@
             settings.get("listen", "callers"),
             settings.get("listen", "control"),
         )
+        self.client_limits = make_client_limits(settings, self.metrics)
         self.peers = PeerTable(self.own)
         self.dispatcher = make_balanced_dispatcher(
             self.own.zone,
@@ -130,6 +132,7 @@
             settings.get("queue", "policy"),
         )
         apply_answer_limits(self.dispatcher, settings)
+        self.dispatcher.answer_memory.share = self.client_limits.memory.open_own_share()
         self.follower = make_follower(
             parts.store, self.peers, self._update_servers, self._update_routes
         )
@@ -223,9 +226,13 @@
         nursery.start_soon(self._pause_detector.run)
         await start_server(nursery, self._run_exchange, self.settings, "control")
         for key, page in self._make_pages().items():
-            server = make_caller_server(self._caller_config, page)
+            server = make_caller_server(
+                self._caller_config, page, self.client_limits, key, ignores_body=True
+            )
             await start_server(nursery, server.run, self.settings, key)
-        self.callers = make_caller_server(self._caller_config, proxy)
+        self.callers = make_caller_server(
+            self._caller_config, proxy, self.client_limits
+        )
         await start_server(nursery, self.callers.run, self.settings, "callers")
         nursery.start_soon(self.follower.run)
         nursery.start_soon(self.quotas.run)
