--- a/kumquatsaddle/sharing/tests/steps/quota_instances.py
+++ b/kumquatsaddle/sharing/tests/steps/quota_instances.py
@@ -20,7 +20,7 @@
 from kumquatsaddle.sharing.quotas import make_quotas
 from kumquatsaddle.testing.exchanges import NodeStub
 
-__all__ = ["ACCOUNT", "QuotaInstances"]
+__all__ = ["ACCOUNT", "Instance", "QuotaInstances", "make_accounts", "make_quota"]
 
 ACCOUNT = "farms"
 # For the first reports and summaries, and the takeover delay.
@@ -28,7 +28,7 @@
 _subnets = itertools.count(1)
 
 
-class _Instance:
+class Instance:
     def __init__(self, fleet, record, holds_quotas):
         self.fleet = fleet
         self.record = record
@@ -38,6 +38,7 @@
             record.zone, DEFAULT_PROTOCOL, self.metrics, 1000
         )
         node = NodeStub(self.peers)
+        self.list_active = node.list_active
         self.exchange = make_zone_exchange(self.peers, dispatcher, node, self.metrics)
         self.quotas = None
         if holds_quotas:
@@ -113,12 +114,11 @@
                 name = f"{zone}-{number}"
                 records.append(InstanceRecord(name, zone, address, address))
         self.instances = [
-            _Instance(self, record, record.name not in older) for record in records
+            Instance(self, record, record.name not in older) for record in records
         ]
 
     def set_quota(self, quota):
-        self.account = ClientAccount(ACCOUNT, None, quota)
-        self.accounts = make_account_table([(self.account, [b"k"])])
+        self.account, self.accounts = make_accounts(quota)
 
     def find_by_control(self, address):
         return next(item for item in self.instances if item.record.control == address)
@@ -150,3 +150,9 @@
 def make_quota(rate):
     """Return a quota with a burst of the requests of two seconds."""
     return Quota(rate, 2 * rate)
+
+
+def make_accounts(quota):
+    """Return an account with a quota and the table that holds it."""
+    account = ClientAccount(ACCOUNT, None, quota)
+    return account, make_account_table([(account, [b"k"])])
