--- a/kumquatsaddle/sharing/quotas.py
+++ b/kumquatsaddle/sharing/quotas.py
@@ -133,12 +133,7 @@
         self._metrics.count("quota_grants", source=source)
 
     def give_back(self, account):
-        """Return the token of an admitted request that was refused without having run.
-
-        Parameters
-        ----------
-        account : ClientAccount
-        """
+        """Return the token of a `ClientAccount` whose request was refused unrun."""
         if account.quota is None:
             return
         name, now = account.name, self._clock()
@@ -212,11 +207,10 @@
     def describe_zone(self):
         """Return the `ZoneView` for a summary and the records to send with it."""
         self._summaries += 1
-        has_changed = (
-            self._clock() - self._active_changed_at < _DESCRIBED_AFTER_CHANGE_SECONDS
-        )
+        unchanged = self._clock() - self._active_changed_at
+        is_new = unchanged < _DESCRIBED_AFTER_CHANGE_SECONDS
         records = ()
-        if has_changed or self._summaries % _SUMMARIES_PER_DESCRIPTION == 0:
+        if is_new or self._summaries % _SUMMARIES_PER_DESCRIPTION == 0:
             records = tuple(
                 record
                 for record in self._list_active()
@@ -393,10 +387,8 @@
 
     def _describe_owner(self, owner):
         """Return the address of an owner for the log."""
-        if owner == self._history.own:
-            return "self"
-        address = self._find_address(owner) if owner is not None else None
-        return "unknown" if address is None else str(address)
+        own = owner == self._history.own
+        return "self" if own else str(self._find_address(owner) or "unknown")
 
 
 def make_quotas(exchange, list_active, get_accounts, metrics, bounds, clock):
