Refuse early only what two standard deviations leave hopeless

Cause: with one standard deviation, and a shortage expected to last as long again, requests with long deadlines were refused although the burst ended in time. Change: two standard deviations, half of the time that the shortage has lasted.

--- a/kumquatsaddle/balance/overload.py
+++ b/kumquatsaddle/balance/overload.py
@@ -11,7 +11,7 @@
 
 from kumquatsaddle.balance.account_profiles import AccountProfiles
 from kumquatsaddle.balance.rank_shares import RankShares
-from kumquatsaddle.balance.slot_rate import SlotRate
+from kumquatsaddle.balance.slot_rate import Forecast, SlotRate
 from kumquatsaddle.balance.waiting import (
     DeadlineOrder,
     ValueOrder,
@@ -35,6 +35,13 @@
 # Share of the requests of a route that is answered within the time that the order
 # assumes for it.
 _WORK_QUANTILE = 0.8
+# Standard deviations by which a forecast counts more starts and fewer arrivals than
+# were seen. With one, less urgent kinds lost up to 12% of their answers to wrong
+# refusals.
+_OPTIMISM = 2.0
+# A shortage is expected to last for this share of the time that it has lasted. With all
+# of it, requests with long deadlines were refused although the burst ended in time.
+_HORIZON_SHARE = 0.5
 # Part of the starts that go before a waiting less urgent rank and give it one start.
 _FLOOR_SHARE = 0.05
 _MAX_FLOOR_CREDIT = 1.0
@@ -85,37 +92,6 @@
     retry_after: float
 
 
-@dataclass(frozen=True, slots=True)
-class _Forecast:
-    """When the work before a request will have started.
-
-    Nothing tells when a shortage ends. The present arrivals are expected to last for as
-    long again as the shortage has lasted, and the usual ones after that.
-
-    Parameters
-    ----------
-    free_rate, later_free_rate : float
-        Slot rate less the arrivals that go first, in the shortage and after it.
-    horizon : float
-        Time until the shortage ends, in seconds.
-    """
-
-    free_rate: float
-    later_free_rate: float
-    horizon: float
-
-    def estimate(self, work):
-        """Return the time until `work` seconds have started, in seconds."""
-        if not work:
-            return 0.0
-        left = work - self.free_rate * self.horizon
-        if left <= 0.0:
-            return work / self.free_rate
-        if self.later_free_rate <= 0.0:
-            return float("inf")
-        return self.horizon + left / self.later_free_rate
-
-
 @queue_policies.register("deadline")
 class DeadlineControl:
     """Order by rank and deadline; a request waits until its latest start.
@@ -298,24 +274,23 @@
     def _make_forecasts(self, now):
         """Return the forecasts by rank and whether newer requests of it go first.
 
-        They err so that chance refuses little: by a standard deviation more starts and
-        fewer arrivals.
+        They err so that chance refuses little: by more starts and fewer arrivals.
 
         Returns
         -------
-        dict of (Rank, bool) to _Forecast
+        dict of (Rank, bool) to Forecast
         """
         if self._forecasts_at == now:
             return self._forecasts
-        rate = self._rate.estimate(optimism=1.0)
-        horizon = self._rate.compute_busy_age(now)
+        rate = self._rate.estimate(_OPTIMISM)
+        horizon = _HORIZON_SHARE * self._rate.compute_busy_age(now)
         forecasts = {}
         for rank in Rank:
             for is_last in (False, True):
                 ahead = [o for o in Rank if o < rank or (is_last and o == rank)]
-                arrivals = self._rate.estimate_arrivals(ahead, optimism=1.0)
+                arrivals = self._rate.estimate_arrivals(ahead, _OPTIMISM)
                 usual = min(arrivals, self._rate.estimate_usual_arrivals(ahead))
-                forecasts[rank, is_last] = _Forecast(
+                forecasts[rank, is_last] = Forecast(
                     rate - arrivals, rate - usual, horizon
                 )
         self._forecasts_at, self._forecasts = now, forecasts
--- a/kumquatsaddle/balance/slot_rate.py
+++ b/kumquatsaddle/balance/slot_rate.py
@@ -4,11 +4,12 @@
 some seconds, with the uncertainty that so few starts leave.
 """
 
+from dataclasses import dataclass
 from math import exp, sqrt
 
 from kumquatsaddle.types import Rank
 
-__all__ = ["SlotRate"]
+__all__ = ["Forecast", "SlotRate"]
 
 # Time over which the slot rate is counted while requests wait. A burst lasts 3 to 6 s.
 _RATE_SECONDS = 4.0
@@ -121,3 +122,34 @@
         """Return the work of some ranks that usually arrives in a second."""
         work = sum(self._usual_work[rank] for rank in ranks)
         return work / max(self._usual_seconds, 1.0)
+
+
+@dataclass(frozen=True, slots=True)
+class Forecast:
+    """When the work before a request will have started.
+
+    Nothing tells when a shortage ends. The present arrivals are expected to last for a
+    share of the time for which the shortage has lasted, and the usual ones after that.
+
+    Parameters
+    ----------
+    free_rate, later_free_rate : float
+        Slot rate less the arrivals that go first, in the shortage and after it.
+    horizon : float
+        Time until the shortage ends, in seconds.
+    """
+
+    free_rate: float
+    later_free_rate: float
+    horizon: float
+
+    def estimate(self, work):
+        """Return the time until `work` seconds have started, in seconds."""
+        if not work:
+            return 0.0
+        left = work - self.free_rate * self.horizon
+        if left <= 0.0:
+            return work / self.free_rate
+        if self.later_free_rate <= 0.0:
+            return float("inf")
+        return self.horizon + left / self.later_free_rate
