Seed the spread of Retry-After in the simulation

Cause: the spread of Retry-After came from an unseeded generator, so that runs of benchmarks.overload and of overload_load.feature differed.

--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -168,9 +168,9 @@
 
 
 class _Instance:
-    def __init__(self, policy):
+    def __init__(self, policy, seed):
         self.averages = RouteAverages()
-        self.control = compared_policies[policy](self.averages)
+        self.control = compared_policies[policy](self.averages, Random(seed))
 
 
 class _Simulation:
@@ -178,7 +178,7 @@
         self.random = Random(seed)
         self.load = load
         self.result = Result()
-        self.instances = [_Instance(policy) for _ in range(_QUEUES)]
+        self.instances = [_Instance(policy, number) for number in range(_QUEUES)]
         self.numbers = count()
         self.events = []
         self.now = 0.0
--- a/benchmarks/overload_policies.py
+++ b/benchmarks/overload_policies.py
@@ -59,8 +59,8 @@
 class _KeyControl(DeadlineControl):
     """Order by rank and a key; a request waits until its latest start."""
 
-    def __init__(self, averages):
-        super().__init__(averages)
+    def __init__(self, averages, random=None):
+        super().__init__(averages, random)
         self.queue = WaitingRequests(_KeyOrder(self._compute_key))
 
     def make_waiter(self, request, excluded, until, event, now):
@@ -87,8 +87,8 @@
 class _FairControl(_KeyControl):
     """Start-time fair queueing between accounts."""
 
-    def __init__(self, averages):
-        super().__init__(averages)
+    def __init__(self, averages, random=None):
+        super().__init__(averages, random)
         self._virtual_time = 0.0
         self._tags = {}
 
@@ -112,8 +112,8 @@
 class _CodelControl(_KeyControl):
     """First in, first out; CoDel refuses at the head."""
 
-    def __init__(self, averages):
-        super().__init__(averages)
+    def __init__(self, averages, random=None):
+        super().__init__(averages, random)
         self._above_since = None
         self._drop_at = float("inf")
         self._drops = 0
@@ -138,8 +138,8 @@
 class _DagorControl(_KeyControl):
     """Admission by rank and account, adapted to the wait as in DAGOR."""
 
-    def __init__(self, averages):
-        super().__init__(averages)
+    def __init__(self, averages, random=None):
+        super().__init__(averages, random)
         self._level = 1.0
         self._window_ends = 0.0
         self._waits = deque(maxlen=200)
--- a/kumquatsaddle/balance/overload.py
+++ b/kumquatsaddle/balance/overload.py
@@ -99,11 +99,14 @@
     Parameters
     ----------
     averages : RouteAverages
+    random : Random, optional
+        For policies that use chance.
     """
 
-    def __init__(self, averages):
+    def __init__(self, averages, random=None):
         self.queue = WaitingRequests(DeadlineOrder())
         self._averages = averages
+        self._random = random or Random()
 
     def make_waiter(self, request, excluded, until, event, now):
         """Return a waiter for a request; see `Waiter`."""
@@ -150,9 +153,8 @@
     """
 
     def __init__(self, averages, random=None):
+        super().__init__(averages, random)
         self.queue = WaitingRequests(ValueOrder())
-        self._averages = averages
-        self._random = random or Random()
         self._rate = SlotRate()
         self._shares = RankShares()
         self._profiles = AccountProfiles()
