Test that bursts serve no less urgent kind more often

Cause: a kind with a long deadline outlasts a burst of urgent work. Change: a scenario with bursts in overload_load.feature.

--- a/kumquatsaddle/balance/tests/overload_load.feature
+++ b/kumquatsaddle/balance/tests/overload_load.feature
@@ -16,6 +16,13 @@
       | commands | 8       | 0.7 1.3 2.5         |
       | valves   | 8       | 0.7 1.3 2.5         |
 
+  Scenario: Bursts that end before the less urgent kind has to start
+    # Guards against a less urgent kind that outlasts the bursts and is served more often.
+    When reads are sent for 45 seconds in bursts of 1.2 1.4 2.6
+    Then with the order by value no kind of higher rank is served less often
+    And none waits until its latest start
+    And at each load the answers are worth at least as much as by deadline
+
   Scenario Outline: A flood of one account at <load> times the capacity
     # Guards against an account that takes the service of the others, and one that is
     # refused much more often than the others.
--- a/kumquatsaddle/balance/tests/steps/overload_load.py
+++ b/kumquatsaddle/balance/tests/steps/overload_load.py
@@ -23,6 +23,13 @@
         play(context, Load(mix, float(factor), float(seconds)))
 
 
+@when("reads are sent for {seconds:d} seconds in bursts of {loads}")
+def play_bursts(context, seconds, loads):
+    context.results = {}
+    for factor in loads.split():
+        play(context, Load("reads", float(factor), float(seconds), burst=True))
+
+
 @when("reads are sent at {factor:g} with one account at {flood:g} times its usual load")
 def play_flood(context, factor, flood):
     context.results = {}
