--- a/kumquatsaddle/sharing/quota_asks.py
+++ b/kumquatsaddle/sharing/quota_asks.py
@@ -11,7 +11,7 @@
 from kumquatsaddle.accounts.quota_owner import ADVANCE_SECONDS
 from kumquatsaddle.sharing.quota_messages import QuotaAsk
 
-__all__ = ["Ask", "PendingAsks", "SilentOwners"]
+__all__ = ["AnsweredAsks", "Ask", "PendingAsks", "SilentOwners"]
 
 # Time after which an ask without an answer is repeated. A datagram each way takes at
 # most 7 ms, an answer by a busy owner some 50 ms.
@@ -20,6 +20,8 @@
 # Time between two asks to an owner that has not answered the last one.
 _PROBE_SECONDS = 0.25
 _MAX_NUMBER = 1 << 32
+# Time for which the answer to an ask is kept in case the ask is repeated.
+_ANSWER_KEPT_SECONDS = 1.0
 
 
 class Ask:
@@ -178,3 +180,31 @@
             return False
         self._next_ask_at[owner] = now + _PROBE_SECONDS
         return True
+
+
+class AnsweredAsks:
+    """The answers to the asks that arrived recently, for those that are repeated."""
+
+    def __init__(self):
+        # Times and grants by sender, incarnation and number, oldest first.
+        self._answers = {}
+
+    def find(self, message, ask):
+        """Return the `Grant` for an ask of a `QuotaMessage` if it is a repeated one."""
+        _, grant = self._answers.get(_make_key(message, ask), (None, None))
+        return grant
+
+    def add(self, message, ask, grant, now):
+        """Keep the answer to an ask."""
+        self._answers[_make_key(message, ask)] = now, grant
+
+    def forget(self, now):
+        """Drop the answers that are too old for a repeated ask."""
+        for key, (answered_at, _) in list(self._answers.items()):
+            if now - answered_at < _ANSWER_KEPT_SECONDS:
+                break
+            del self._answers[key]
+
+
+def _make_key(message, ask):
+    return message.sender, message.incarnation, ask.number
--- a/kumquatsaddle/sharing/quotas.py
+++ b/kumquatsaddle/sharing/quotas.py
@@ -23,7 +23,7 @@
 from kumquatsaddle.addresses.scores import hash_name
 from kumquatsaddle.exceptions import RefusedError
 from kumquatsaddle.logs import log_event
-from kumquatsaddle.sharing.quota_asks import PendingAsks, SilentOwners
+from kumquatsaddle.sharing.quota_asks import AnsweredAsks, PendingAsks, SilentOwners
 from kumquatsaddle.sharing.quota_log import QuotaLog
 from kumquatsaddle.sharing.quota_messages import (
     QuotaMessage,
@@ -36,8 +36,6 @@
 
 _TICK_SECONDS = 0.25
 _ANSWER_TIMEOUT_SECONDS = 0.25
-# Time for which the answer to an ask is kept in case the ask is repeated.
-_REPEAT_SECONDS = 1.0
 _IDLE_CHECK_TICKS = 40
 # The active instances are described in each summary for this time after a change, and
 # in one of some summaries afterwards, for instances that started since.
@@ -86,9 +84,8 @@
         self._silent_owners = SilentOwners()
         self._asks = PendingAsks()
         self._incarnation = randbits(64)
-        # The answers to recent asks by sender, incarnation and number, oldest first.
-        self._answered = {}
-        self._zone_view = ZoneView((), 0, 0)
+        self._answered = AnsweredAsks()
+        self._zone_view = None
         self._active_changed_at = now
         self._summaries = 0
         # Control addresses by the hash of the instance name.
@@ -151,7 +148,7 @@
             while True:
                 self.update_view(self._clock())
                 self._ask_for_returns()
-                self._forget_answers()
+                self._answered.forget(self._clock())
                 ticks += 1
                 if ticks % _IDLE_CHECK_TICKS == 0:
                     self._remove_idle()
@@ -161,13 +158,15 @@
         """Update which instances are in contact and who owns what."""
         self._observe(now)
         peers = self._peers
-        if not self.is_listed and len(peers.instances) == 1:
+        is_known = self.is_listed or len(peers.instances) > 1
+        if self._get_accounts() is None or not is_known:
             return
         self._contact.note_peers(peers.peers, now)
         active = [record.name for record in self._list_active()]
         zone_view = self._contact.make_zone_view(active, now)
         if zone_view != self._zone_view:
-            if zone_view.active != self._zone_view.active:
+            known = self._zone_view
+            if known is None or zone_view.active != known.active:
                 self._active_changed_at = now
             self._zone_view = zone_view
             self._exchange.send_summary_soon()
@@ -199,13 +198,18 @@
         for record in report.zone_records:
             self._peers.add_instance(record, now)
         if view is None:
-            # An older build leads the zone.
+            # An older build leads the zone, or it has no client accounts yet.
             number = len(self._peers.group_other_zones().get(zone, ()))
             view = ZoneView((), number, number)
         self._contact.hear_zone(zone, view, self._clock())
 
     def describe_zone(self):
-        """Return the `ZoneView` for a summary and the records to send with it."""
+        """Return the `ZoneView` for a summary and the records to send with it.
+
+        The view is None without client accounts.
+        """
+        if self._zone_view is None:
+            return None, ()
         self._summaries += 1
         unchanged = self._clock() - self._active_changed_at
         is_new = unchanged < _DESCRIBED_AFTER_CHANGE_SECONDS
@@ -256,11 +260,10 @@
 
     def _answer(self, message, ask, now):
         """Return the `Grant` for an ask; the same one if it is repeated."""
-        key = message.sender, message.incarnation, ask.number
-        _, grant = self._answered.get(key, (None, None))
+        grant = self._answered.find(message, ask)
         if grant is None:
             grant = self._grant(ask, now)
-            self._answered[key] = now, grant
+            self._answered.add(message, ask, grant, now)
             outcome = grant.refusal.value if grant.refusal else "granted"
             self._metrics.count("quota_asks_answered", outcome=outcome)
         else:
@@ -351,13 +354,6 @@
         self._tokens.remove_idle(now)
         self._metrics.set_gauge("quota_buckets", len(self._owner))
 
-    def _forget_answers(self):
-        now = self._clock()
-        for key, (answered_at, _) in list(self._answered.items()):
-            if now - answered_at < _REPEAT_SECONDS:
-                break
-            del self._answered[key]
-
     def _find_address(self, owner):
         if owner not in self._addresses:
             self._addresses = {
--- a/kumquatsaddle/sharing/tests/quotas.feature
+++ b/kumquatsaddle/sharing/tests/quotas.feature
@@ -62,3 +62,8 @@
     # Guards against an upgrade in which accounts belong to instances that never answer.
     Given 3 instances in zone a and 2 in zone b, a-1 is of an older build
     Then no account belongs to the older build
+
+  Scenario: A configuration without client accounts
+    # Guards against traffic and work for deployments that have no accounts.
+    Given 3 instances in zone a and 2 in zone b without client accounts
+    Then no quota message was sent and no summary describes a zone
--- a/kumquatsaddle/sharing/tests/steps/quota_instances.py
+++ b/kumquatsaddle/sharing/tests/steps/quota_instances.py
@@ -98,7 +98,8 @@
     ----------
     sizes : dict of str to int
         Number of instances by zone.
-    quota : Quota
+    quota : Quota or None
+        None for a configuration without accounts.
     older : collection of str
         Names of the instances of an older build.
     """
@@ -118,6 +119,9 @@
         ]
 
     def set_quota(self, quota):
+        self.account = self.accounts = None
+        if quota is None:
+            return
         self.account, self.accounts = make_accounts(quota)
 
     def find_by_control(self, address):
--- a/kumquatsaddle/sharing/tests/steps/quotas.py
+++ b/kumquatsaddle/sharing/tests/steps/quotas.py
@@ -37,7 +37,7 @@
 
     context.loop.run(run)
     context.add_cleanup(context.loop.run, context.fleet.stop)
-    if not older:
+    if not older and quota is not None:
         context.owner, context.others = context.fleet.find_owner()
 
 
@@ -333,3 +333,16 @@
         assert len(owners) == 1, owners
         address = quotas[0]._find_address(owners.pop())
         assert address is not None and address != older.record.control, number
+
+
+@given("{first:d} instances in zone a and {second:d} in zone b without client accounts")
+def prepare_without_accounts(context, first, second):
+    start(context, {"a": first, "b": second}, None)
+
+
+@then("no quota message was sent and no summary describes a zone")
+def check_nothing_sent(context):
+    for instance in context.fleet.instances:
+        assert not instance.asks and not instance.answers
+        assert instance.quotas.describe_zone() == (None, ())
+        assert instance.quotas._contact._zones, "no summary was heard"
