Let the strongest instances of a zone own quotas, and wait longer for them

Change: owners are the active instances with at least half of the highest capacity; a request waits 0.45 s; an owner counts as silent after three requests without an answer.

--- a/kumquatsaddle/lifecycle/routed_node.py
+++ b/kumquatsaddle/lifecycle/routed_node.py
@@ -149,7 +149,7 @@
         self.dispatcher.find_access_refusal = self.access.find_refusal
         self.quotas = make_quotas(
             self.exchange,
-            self.list_active,
+            self.list_quota_owners,
             self._get_accounts,
             self.metrics,
             _read_quota_bounds(settings),
@@ -187,6 +187,10 @@
         """Return the `InstanceRecord` of the instances for callers of this zone."""
         return self.peers.list_active(self.is_serving(), self.capacity)
 
+    def list_quota_owners(self):
+        """Return the instances of this zone that may own the quotas of accounts."""
+        return self.peers.list_strongest(self.is_serving(), self.capacity)
+
     def routes_version(self):
         """Return the store version of the routes in force."""
         return self.follower.route_directory.known_version
--- a/kumquatsaddle/sharing/peers.py
+++ b/kumquatsaddle/sharing/peers.py
@@ -205,6 +205,23 @@
         capacity : float
             Of this instance, in requests per second.
         """
+        return [record for _, record in self._rank_active(is_serving, capacity)]
+
+    def list_strongest(self, is_serving, capacity):
+        """Return the active instances with at least half of the highest capacity.
+
+        They answer messages soon: on a slow link, datagrams wait behind large answers.
+
+        Parameters
+        ----------
+        is_serving, capacity : bool, float
+            See `list_active`.
+        """
+        active = self._rank_active(is_serving, capacity)
+        return [record for found, record in active if 2 * found >= active[0][0]]
+
+    def _rank_active(self, is_serving, capacity):
+        """Return the active instances with their capacity, the highest first."""
         serving = [
             (peer.report.capacity, peer.record)
             for peer in self.list_alive()
@@ -213,7 +230,7 @@
         if is_serving:
             serving.append((capacity, self.own))
         serving.sort(key=_compute_sort_key)
-        return [record for _, record in serving[: _count_active(len(serving))]]
+        return serving[: _count_active(len(serving))]
 
 
 def _count_active(serving):
--- a/kumquatsaddle/sharing/quota_asks.py
+++ b/kumquatsaddle/sharing/quota_asks.py
@@ -17,6 +17,9 @@
 # most 7 ms, an answer by a busy owner some 50 ms.
 _REPEAT_SECONDS = 0.08
 _MAX_SENDINGS = 3
+# Requests without an answer after which an owner counts as silent; a single one may be
+# lost on a full link.
+_MIN_UNANSWERED = 3
 # Time between two asks to an owner that has not answered the last one.
 _PROBE_SECONDS = 0.25
 _MAX_NUMBER = 1 << 32
@@ -153,7 +156,7 @@
 
 
 class SilentOwners:
-    """The owners that did not answer the last ask.
+    """The owners that did not answer the last asks.
 
     Requests are refused at once while their owner is silent, except for one at a time
     that finds out whether it answers again.
@@ -162,14 +165,19 @@
     def __init__(self):
         # When the next ask may be sent, by the hash of the name of the owner.
         self._next_ask_at = {}
+        # Requests without an answer since the last one.
+        self._unanswered = {}
 
     def add(self, owner, now):
-        """Record that an owner did not answer in time."""
-        self._next_ask_at[owner] = now + _PROBE_SECONDS
+        """Record that an owner did not answer a request in time."""
+        self._unanswered[owner] = self._unanswered.get(owner, 0) + 1
+        if self._unanswered[owner] >= _MIN_UNANSWERED:
+            self._next_ask_at[owner] = now + _PROBE_SECONDS
 
     def discard(self, owner):
         """Record that an instance sends quota messages."""
         self._next_ask_at.pop(owner, None)
+        self._unanswered.pop(owner, None)
 
     def may_ask(self, owner, now):
         """Return whether a request may wait for an answer of an owner."""
--- a/kumquatsaddle/sharing/quotas.py
+++ b/kumquatsaddle/sharing/quotas.py
@@ -35,7 +35,9 @@
 __all__ = ["Quotas", "make_quotas"]
 
 _TICK_SECONDS = 0.25
-_ANSWER_TIMEOUT_SECONDS = 0.25
+# Shorter than the validity of a token. A datagram may wait for 0.4 s behind the largest
+# answers on a link of 10 Mbit/s.
+_ANSWER_TIMEOUT_SECONDS = 0.45
 _IDLE_CHECK_TICKS = 40
 # The active instances are described in each summary for this time after a change, and
 # in one of some summaries afterwards, for instances that started since.
@@ -52,8 +54,8 @@
     Parameters
     ----------
     exchange : ZoneExchange
-    list_active : callable
-        Returns the `InstanceRecord` of the instances for callers of this zone.
+    list_candidates : callable
+        Returns the `InstanceRecord` of the instances of this zone that may own quotas.
     get_accounts : callable
         Returns the `AccountTable` in force, or None.
     metrics : Metrics
@@ -68,10 +70,10 @@
         that has heard of no other does not know which part of the fleet it is.
     """
 
-    def __init__(self, exchange, list_active, get_accounts, metrics, bounds, clock):
+    def __init__(self, exchange, list_candidates, get_accounts, metrics, bounds, clock):
         self._exchange = exchange
         self._peers = exchange.peers
-        self._list_active = list_active
+        self._list_candidates = list_candidates
         self._get_accounts = get_accounts
         self._metrics = metrics
         self._clock = clock
@@ -162,7 +164,7 @@
         if self._get_accounts() is None or not is_known:
             return
         self._contact.note_peers(peers.peers, now)
-        active = [record.name for record in self._list_active()]
+        active = [record.name for record in self._list_candidates()]
         zone_view = self._contact.make_zone_view(active, now)
         if zone_view != self._zone_view:
             known = self._zone_view
@@ -217,7 +219,7 @@
         if is_new or self._summaries % _SUMMARIES_PER_DESCRIPTION == 0:
             records = tuple(
                 record
-                for record in self._list_active()
+                for record in self._list_candidates()
                 if hash_name(record.name) in self._zone_view.active
             )
         return self._zone_view, records
@@ -387,8 +389,8 @@
         return "self" if own else str(self._find_address(owner) or "unknown")
 
 
-def make_quotas(exchange, list_active, get_accounts, metrics, bounds, clock):
+def make_quotas(exchange, list_candidates, get_accounts, metrics, bounds, clock):
     """Return the quotas of one instance, attached to its exchange; see `Quotas`."""
-    quotas = Quotas(exchange, list_active, get_accounts, metrics, bounds, clock)
+    quotas = Quotas(exchange, list_candidates, get_accounts, metrics, bounds, clock)
     exchange.quotas = quotas
     return quotas
