Serve accounts with a quota while all their owners are new

Change: reports say whether their sender started recently. While all of the zone that an instance hears, at least half of it, is new, no former owner is left, and each active instance admits a fixed part of each quota by itself until owners grant, for 6 s at most.

--- a/kumquatsaddle/accounts/fleet_contact.py
+++ b/kumquatsaddle/accounts/fleet_contact.py
@@ -83,12 +83,13 @@
 
 
 class _Peer:
-    __slots__ = ("noted_at", "heard_at", "holds_quotas")
+    __slots__ = ("noted_at", "heard_at", "holds_quotas", "recently_started")
 
     def __init__(self, noted_at):
         self.noted_at = noted_at
         self.heard_at = None
         self.holds_quotas = False
+        self.recently_started = False
 
     def is_in_contact(self, now):
         heard_at = self.heard_at
@@ -124,7 +125,7 @@
             if name not in self._peers and name not in self._left:
                 self._peers[name] = _Peer(now)
 
-    def hear_peer(self, name, is_leaving, holds_quotas, now):
+    def hear_peer(self, name, is_leaving, holds_quotas, now, recently_started=False):
         """Record a report of a peer.
 
         Parameters
@@ -135,6 +136,7 @@
             Whether it takes part in the quotas; older builds do not.
         now : float
             In seconds.
+        recently_started : bool, default=False
         """
         if is_leaving:
             self._peers.pop(name, None)
@@ -143,6 +145,18 @@
         self._left.discard(name)
         peer = self._peers.setdefault(name, _Peer(now))
         peer.heard_at, peer.holds_quotas = now, holds_quotas
+        peer.recently_started = recently_started
+
+    def has_restarted(self, now):
+        """Return whether all of the zone that is heard, at least half, is new.
+
+        Then no owner of before is left in the zone. Owners in other zones use only the
+        part of the quota that excludes this zone.
+        """
+        heard = [peer for peer in self._peers.values() if peer.is_in_contact(now)]
+        if 2 * (len(heard) + 1) < len(self._peers) + 1:
+            return False
+        return all(peer.recently_started for peer in heard)
 
     def hear_zone(self, zone, view, now):
         """Record the `ZoneView` in a summary of another zone."""
--- a/kumquatsaddle/accounts/tests/quotas.feature
+++ b/kumquatsaddle/accounts/tests/quotas.feature
@@ -64,3 +64,9 @@
     Given an owner whose account has used up a rate of 10
     Then refused requests are told different times, a tenth of a second apart
     And a request at the first of these times is admitted
+
+  Scenario: All instances restart at the same moment
+    # Guards against seconds without service after a loss of power, in which each new
+    # owner waits for a former one that no longer exists.
+    Then restarted instances together admit at most the slack and the rate, for 6 seconds
+    And an instance admits by itself only if all that it hears, at least half, are new
--- a/kumquatsaddle/sharing/exchange.py
+++ b/kumquatsaddle/sharing/exchange.py
@@ -352,6 +352,9 @@
             departures=announcements.departures,
             ends=announcements.ends,
             holds_quotas=self.quotas is not None,
+            recently_started=(
+                self.quotas is not None and self.quotas.is_recently_started()
+            ),
             zone_view=zone_view,
             zone_records=zone_records,
         )
--- a/kumquatsaddle/sharing/messages.py
+++ b/kumquatsaddle/sharing/messages.py
@@ -163,6 +163,7 @@
     departures: tuple[Departure, ...] = ()
     ends: tuple[EndAge, ...] = ()
     holds_quotas: bool = False
+    recently_started: bool = False
     zone_view: ZoneView | None = None
     zone_records: tuple[InstanceRecord, ...] = ()
 
@@ -255,6 +256,7 @@
     if report.ends:
         _write_ends(message, report.ends)
     message.holdsQuotas = report.holds_quotas
+    message.recentlyStarted = report.recently_started
     if report.zone_view is not None:
         _write_zone_view(message, report.zone_view, report.zone_records)
     return message.to_bytes()
@@ -424,6 +426,7 @@
             for item in message.ends
         ),
         holds_quotas=message.holdsQuotas,
+        recently_started=message.recentlyStarted,
         zone_view=_convert_zone_view(message.zoneView) if has_view else None,
         zone_records=tuple(_convert_instance(item) for item in message.zoneView.records)
         if has_view
--- a/kumquatsaddle/sharing/quotas.py
+++ b/kumquatsaddle/sharing/quotas.py
@@ -20,6 +20,7 @@
 )
 from kumquatsaddle.accounts.quota_owner import Grant, QuotaOwner, QuotaRefusal
 from kumquatsaddle.accounts.quota_tokens import QuotaTokens
+from kumquatsaddle.accounts.restart_tokens import RestartTokens
 from kumquatsaddle.addresses.scores import hash_name
 from kumquatsaddle.exceptions import RefusedError
 from kumquatsaddle.logs import log_event
@@ -84,6 +85,7 @@
         self._owner = QuotaOwner(self._history, bounds)
         self._tokens = QuotaTokens()
         self._silent_owners = SilentOwners()
+        self._restart_tokens = RestartTokens(now, bounds.slack)
         self._asks = PendingAsks()
         self._incarnation = randbits(64)
         self._answered = AnsweredAsks()
@@ -96,7 +98,7 @@
         self.is_listed = False
         for refusal in QuotaRefusal:
             metrics.count("quota_refusals", 0, cause=refusal.value)
-        for source in ("held", "own", "asked"):
+        for source in ("held", "own", "asked", "restart"):
             metrics.count("quota_grants", 0, source=source)
 
     async def admit(self, account, deadline, request_id=b""):
@@ -127,10 +129,28 @@
             source, grant = "own", self._owner.grant(name, account.quota, 1, 0, now)
         else:
             source, grant = "asked", await self._request(name, owner, deadline, now)
-        if not grant.granted:
+        if not grant.granted and self._admits_after_restart(account, grant):
+            source = "restart"
+        elif not grant.granted:
             self._refuse(account, owner, grant, request_id)
         self._metrics.count("quota_grants", source=source)
 
+    def is_recently_started(self):
+        """Return whether this instance has started recently."""
+        return self._restart_tokens.is_recent(self._clock())
+
+    def _admits_after_restart(self, account, grant):
+        """Return whether a request that no owner decided on is admitted here."""
+        now = self._clock()
+        if grant.refusal is QuotaRefusal.LIMIT or not self.is_listed:
+            return False
+        if not self._restart_tokens.is_recent(now):
+            return False
+        if not self._contact.has_restarted(now):
+            return False
+        active = self._peers.count_expected_active()
+        return self._restart_tokens.try_take(account.name, account.quota, active, now)
+
     def give_back(self, account):
         """Return the token of a `ClientAccount` whose request was refused unrun."""
         if account.quota is None:
@@ -189,7 +209,9 @@
     def hear_peer(self, report):
         """Record a `Report` of a peer."""
         name, now = report.sender.name, self._clock()
-        self._contact.hear_peer(name, report.leaving, report.holds_quotas, now)
+        self._contact.hear_peer(
+            name, report.leaving, report.holds_quotas, now, report.recently_started
+        )
 
     def hear_zone(self, report):
         """Record the summary of another zone, a `Report`."""
--- a/kumquatsaddle/sharing/reports.capnp
+++ b/kumquatsaddle/sharing/reports.capnp
@@ -34,6 +34,7 @@
   ends @21 :List(ServerEnd); # requests under which servers ended, and those cleared
   holdsQuotas @22 :Bool;     # whether the sender takes part in the quotas of accounts
   zoneView @23 :ZoneView;    # in a full summary: the instances of the sender's zone
+  recentlyStarted @24 :Bool; # whether the sender is too new to have granted tokens before
 }
 
 struct ZoneView {
