--- a/deploy/tests/quotas.feature
+++ b/deploy/tests/quotas.feature
@@ -8,3 +8,9 @@
     And the others are answered 429 account_limit with a Retry-After
     And the log and the metrics lead from a request id to the cause "limit"
     And an account without a quota is not limited
+
+  Scenario: Requests that are refused after they were admitted
+    # Guards against a quota that is used up by requests that never ran.
+    Given an instance with a quota of 1 request/s and a burst of 2
+    When 40 requests of the account are admitted and refused for a full queue
+    Then none of them is answered 429
--- a/deploy/tests/steps/quotas.py
+++ b/deploy/tests/steps/quotas.py
@@ -4,9 +4,11 @@
 from samples import CONFIGURATION
 
 from kumquatsaddle.dispatch.connections import open_connection
+from kumquatsaddle.exchange import Answer
 from kumquatsaddle.logs import set_log_level
 from kumquatsaddle.settings.parsers import Address
 from kumquatsaddle.testing.loops import start_loop
+from kumquatsaddle.types import RefusalReason
 
 KEY, UNLIMITED_KEY = "key-of-farms", "key-of-mills"
 # For the takeover delay of a new instance.
@@ -122,3 +124,20 @@
     answers = send_at_once(context, UNLIMITED_KEY, 30).values()
     assert {answer.status for answer in answers} <= {200, 503}, answers
     assert 429 not in {answer.status for answer in answers}
+
+
+@when("{number:d} requests of the account are admitted and refused for a full queue")
+def refuse_admitted(context, number):
+    async def refuse(request):
+        return Answer.from_reason(RefusalReason.QUEUE_FULL)
+
+    context.harness.node.dispatcher.dispatch = refuse
+    context.answers = [
+        context.loop.run(send_request, context.harness, KEY, index)
+        for index in range(number)
+    ]
+
+
+@then("none of them is answered 429")
+def check_none_limited(context):
+    assert {answer.status for answer in context.answers} == {503}, context.answers
