Forget the names of instances that left when the list of peers does

Cause: the set of names that left on purpose grew with every replaced instance. Change: it keeps those that the list of peers still has.

--- a/kumquatsaddle/accounts/fleet_contact.py
+++ b/kumquatsaddle/accounts/fleet_contact.py
@@ -119,7 +119,11 @@
         self._zones = {}
 
     def note_peers(self, names, now):
-        """Add peers from a list; those that left on purpose stay out."""
+        """Add peers from a list; those that left on purpose stay out.
+
+        Those that left are remembered for as long as the list has them.
+        """
+        self._left.intersection_update(names)
         for name in names:
             if name not in self._peers and name not in self._left:
                 self._peers[name] = _Peer(now)
--- a/kumquatsaddle/accounts/tests/quotas.feature
+++ b/kumquatsaddle/accounts/tests/quotas.feature
@@ -58,6 +58,7 @@
     # Guards against a quota that shrinks with each planned stop.
     Given a fleet in which an instance leaves on purpose and another one is killed
     Then the share is smaller by the killed instance only
+    And the name of the one that left is forgotten with the list of peers
 
   Scenario: Retry-After tells when a token is there
     # Guards against callers that come back too early, or all at the same time.
--- a/kumquatsaddle/accounts/tests/steps/quota_decisions.py
+++ b/kumquatsaddle/accounts/tests/steps/quota_decisions.py
@@ -153,6 +153,7 @@
                 continue
             contact.hear_peer(name, name == "peer-1" and tick >= 5, True, float(tick))
         contact.note_peers(names, float(tick))
+    context.contact = contact
     context.view = contact.make_view(contact.make_zone_view([OWN], 9.0), {}, 9.0)
 
 
@@ -161,6 +162,12 @@
     assert (context.view.live, context.view.known) == (8, 9), context.view
 
 
+@then("the name of the one that left is forgotten with the list of peers")
+def check_forgotten(context):
+    context.contact.note_peers(["peer-2"], 70.0)
+    assert not context.contact._left
+
+
 @given("an owner whose account has used up a rate of 10")
 def prepare_used_up(context):
     prepare(context)
