Refuse early only in a shortage of slots of healthy servers

Cause: one gray server with a free slot among many full ones turned early refusals off, and the search for servers with free slots ran at each arrival also without early refusals. Change: doubtful servers end a shortage from a quarter of all slots on; a policy says whether it refuses early.

--- a/kumquatsaddle/balance/choice.py
+++ b/kumquatsaddle/balance/choice.py
@@ -14,7 +14,7 @@
     "NO_EXPLORATION",
     "choose_server",
     "compute_cost",
-    "has_free_slot",
+    "is_short_of_slots",
     "is_explorable",
 ]
 
@@ -80,6 +80,9 @@
 _UNUSED_GRACE_SECONDS = 1.0
 # Longest time after the grace period that adds to the exploration term.
 _MAX_UNUSED_SECONDS = 1.2
+# Free slots of doubtful servers, as a share of all, from which on requests wait for
+# evidence and not for slots. Single gray servers do not end a shortage.
+_MIN_DOUBTFUL_SHARE = 0.25
 # Requests sent to a server beyond its slots, by rank; they wait at the server.
 _EXTRA_REQUESTS_BY_RANK = {Rank.URGENT: 2, Rank.STANDARD: 0, Rank.BULK: 0}
 
@@ -223,8 +226,8 @@
     return best
 
 
-def has_free_slot(servers, now):
-    """Return whether a server that may be used has a free slot, however it is doubted.
+def is_short_of_slots(servers, now):
+    """Return whether requests wait for slots, rather than for a healthy server.
 
     Parameters
     ----------
@@ -232,10 +235,17 @@
     now : float
         On the clock of trio, in seconds.
     """
-    return any(
-        server.in_flight < server.record.slots and server.is_available(now)
-        for server in servers
-    )
+    slots = doubtful = 0
+    for server in servers:
+        if not server.is_in_service():
+            continue
+        slots += server.record.slots
+        free = server.record.slots - server.in_flight
+        if free > 0 and server.is_available(now):
+            if is_explorable(server, now, MAX_EXPLORABLE_FAILURE):
+                return False
+            doubtful += free
+    return doubtful < _MIN_DOUBTFUL_SHARE * slots
 
 
 def _compute_elapsed_share(request, now):
--- a/kumquatsaddle/balance/overload.py
+++ b/kumquatsaddle/balance/overload.py
@@ -67,8 +67,15 @@
     averages : RouteAverages
     random : Random, optional
         For policies that use chance.
+
+    Attributes
+    ----------
+    refuses_early : bool
+        Whether `find_refusals` may return any.
     """
 
+    refuses_early = False
+
     def __init__(self, averages, random=None):
         self.queue = WaitingRequests(DeadlineOrder())
         self._averages = averages
@@ -118,6 +125,8 @@
         Spreads the Retry-After.
     """
 
+    refuses_early = True
+
     def __init__(self, averages, random=None):
         super().__init__(averages, random)
         self.queue = WaitingRequests(ValueOrder())
--- a/kumquatsaddle/balance/pool.py
+++ b/kumquatsaddle/balance/pool.py
@@ -5,7 +5,7 @@
 import trio
 
 from kumquatsaddle.balance.budget import SlidingRetryBudget
-from kumquatsaddle.balance.choice import choose_server, has_free_slot
+from kumquatsaddle.balance.choice import choose_server, is_short_of_slots
 from kumquatsaddle.balance.departures import Departures
 from kumquatsaddle.balance.drain_rate import DrainRate
 from kumquatsaddle.balance.exploration import Exploration
@@ -182,7 +182,7 @@
             self._raise_if_refused(waiter)
             self._raise_if_limited(waiter)
             now = trio.current_time()
-            if now >= until and not has_free_slot(self.servers.values(), now):
+            if now >= until and is_short_of_slots(self.servers.values(), now):
                 self._control.record_loss(request, now)
         return waiter.server
 
@@ -244,8 +244,9 @@
     def _refuse_scarce(self):
         """Refuse the waiting requests that cost least, if there are too many."""
         now = trio.current_time()
-        if not self._waiters or has_free_slot(self.servers.values(), now):
-            # With a free slot, requests wait for evidence that its server is healthy.
+        if not (self._waiters and self._control.refuses_early):
+            return
+        if not is_short_of_slots(self.servers.values(), now):
             return
         for waiter, refusal in self._control.find_refusals(now):
             self._waiters.remove(waiter)
--- a/kumquatsaddle/balance/tests/overload.feature
+++ b/kumquatsaddle/balance/tests/overload.feature
@@ -60,6 +60,11 @@
     Given a server that failed fast and a pool with the order by value
     Then waiting requests are not refused early
 
+  Scenario: A single doubtful server does not end a shortage
+    # Guards against requests that wait in vain because one of many servers is gray.
+    Then one doubtful server of 10 with free slots is a shortage and three are none
+    And a healthy one with a free slot is none
+
   Scenario: The cost of a change does not grow with the queue
     # Guards against an event loop that stands still while 500 requests wait.
     Then with 500 waiting requests a change takes one choice and no pass over all
--- a/kumquatsaddle/balance/tests/steps/overload.py
+++ b/kumquatsaddle/balance/tests/steps/overload.py
@@ -15,6 +15,7 @@
 from kumquatsaddle.balance.averages import RouteAverages
 from kumquatsaddle.balance.beliefs import Observation
 from kumquatsaddle.balance.budget import RetryLimits
+from kumquatsaddle.balance.choice import is_short_of_slots
 from kumquatsaddle.balance.overload import (
     DeadlineControl,
     QueueRefusal,
@@ -24,6 +25,7 @@
 )
 from kumquatsaddle.balance.pool import BalancedPool
 from kumquatsaddle.balance.rank_shares import RankShares
+from kumquatsaddle.balance.servers import BalancedServer
 from kumquatsaddle.discovery.records import ServerRecord
 from kumquatsaddle.dispatch.protocol import DEFAULT_PROTOCOL
 from kumquatsaddle.exceptions import QueueRefusedError
@@ -501,3 +503,37 @@
 def check_others_once(context):
     for count, reached in context.runs:
         assert len(reached) == len(set(reached)) == count, (count, reached)
+
+
+def count_as_short(doubtful, healthy=0):
+    """Return whether 10 servers, of which some have all slots free, are a shortage."""
+    address = Address("127.0.0.1", 1)
+    servers = []
+    for number in range(10):
+        record = ServerRecord(f"b{number}", 1, "s", address, "here", SLOTS, False)
+        server = BalancedServer(record, DEFAULT_PROTOCOL, 0.0)
+        if number < doubtful:
+            for _ in range(4):
+                server.observe(0.0, Observation.FAILED_FAST)
+        elif number >= doubtful + healthy:
+            for key in range(SLOTS):
+                server.begin(key, 0.0, 5.0)
+        servers.append(server)
+    return is_short_of_slots(servers, 0.0)
+
+
+@then("one doubtful server of 10 with free slots is a shortage and three are none")
+def check_single_doubtful(context):
+    async def run():
+        assert count_as_short(0) and count_as_short(1) and count_as_short(2)
+        assert not count_as_short(3)
+
+    trio.run(run)
+
+
+@then("a healthy one with a free slot is none")
+def check_healthy(context):
+    async def run():
+        assert not count_as_short(0, 1) and not count_as_short(1, 1)
+
+    trio.run(run)
