Test that no account is starved by the usual load of others

Cause: a wrong share would put all requests of an account behind those of the others. Change: a property over usual loads and floods.

--- a/kumquatsaddle/balance/tests/overload.feature
+++ b/kumquatsaddle/balance/tests/overload.feature
@@ -32,6 +32,10 @@
     Then most of its requests and few of the others are beyond the usual load
     And at least a quarter of its requests are not
 
+  Scenario: No account is starved
+    # Guards against an account all of whose requests go behind those of the others.
+    Then for any usual loads and floods each account keeps a quarter of the share of all
+
   Scenario: An account that repeats its requests raises nothing
     # Guards against a larger share for callers that retry more often.
     Given 20 accounts that each send 1 request a second for 60 seconds
--- a/kumquatsaddle/balance/tests/steps/overload.py
+++ b/kumquatsaddle/balance/tests/steps/overload.py
@@ -537,3 +537,31 @@
         assert not count_as_short(0, 1) and not count_as_short(1, 1)
 
     trio.run(run)
+
+
+@then("for any usual loads and floods each account keeps a quarter of the share of all")
+def check_no_starvation(context):
+    accounts = st.lists(
+        st.tuples(st.sampled_from([0.5, 1.0, 4.0]), st.sampled_from([1, 2, 3, 6, 9])),
+        min_size=2,
+        max_size=6,
+    )
+
+    @settings(max_examples=30)
+    @for_all(accounts)
+    def check(drawn):
+        context.profiles, context.random = AccountProfiles(), Random(5)
+        context.names = [f"a{number}" for number in range(len(drawn))]
+        context.now = 0.0
+        usual = {f"a{n}": rate for n, (rate, _) in enumerate(drawn)}
+        send(context, usual, 60)
+        send(context, {f"a{n}": r * factor for n, (r, factor) in enumerate(drawn)}, 15)
+        sums = [sum(values) for values in zip(*context.excess.values(), strict=True)]
+        for name, (within, beyond) in context.excess.items():
+            sent = within + beyond
+            assert within / max(1, sent) >= 0.25 * sums[0] / sum(sums) or sent < 20, (
+                name,
+                context.excess,
+            )
+
+    check()
