Keep the quantiles of the work with each route

Cause: each answer looked at the quantiles of all routes. Change: they are kept with the distribution of their route.

--- a/kumquatsaddle/balance/work.py
+++ b/kumquatsaddle/balance/work.py
@@ -23,12 +23,14 @@
 
 
 class _Distribution:
-    __slots__ = ("counts", "total", "answers")
+    __slots__ = ("counts", "total", "answers", "quantiles")
 
     def __init__(self):
         self.counts = array("f", bytes(4 * _BUCKET_COUNT))
         self.total = 0.0
         self.answers = 0
+        # Computed since the last answer, by share.
+        self.quantiles = {}
 
     def add(self, bucket):
         if self.total >= _MAX_COUNT:
@@ -37,6 +39,7 @@
         self.counts[bucket] += 1.0
         self.total += 1.0
         self.answers = min(self.answers + 1, _MIN_ANSWERS)
+        self.quantiles.clear()
 
     def find_quantile(self, share):
         below, wanted = 0.0, share * self.total
@@ -51,12 +54,11 @@
 class WorkEstimates:
     """Distributions of the response times of backend servers, by route.
 
-    A route takes 212 bytes of counts.
+    A route takes about 0.7 KB, of which 212 bytes are counts.
     """
 
     def __init__(self):
         self._by_route = {}
-        self._quantiles = {}
 
     def add(self, route, seconds):
         """Add the response time of a served request, in seconds."""
@@ -64,8 +66,6 @@
         if distribution is None:
             distribution = self._by_route[route.name] = _Distribution()
         distribution.add(_find_bucket(seconds))
-        for key in [key for key in self._quantiles if key[0] == route.name]:
-            del self._quantiles[key]
 
     def estimate(self, route, share):
         """Return the time within which a share of the requests is answered.
@@ -81,13 +81,13 @@
         float or None
             In seconds; None for a route with too few answers.
         """
-        key = route.name, share
-        seconds = self._quantiles.get(key)
+        distribution = self._by_route.get(route.name)
+        if distribution is None or distribution.answers < _MIN_ANSWERS:
+            return None
+        seconds = distribution.quantiles.get(share)
         if seconds is None:
-            distribution = self._by_route.get(route.name)
-            if distribution is None or distribution.answers < _MIN_ANSWERS:
-                return None
-            seconds = self._quantiles[key] = distribution.find_quantile(share)
+            seconds = distribution.find_quantile(share)
+            distribution.quantiles[share] = seconds
         return seconds
 
     def retain_routes(self, names):
@@ -95,7 +95,6 @@
         names = set(names)
         for name in set(self._by_route) - names:
             del self._by_route[name]
-        self._quantiles.clear()
 
 
 def _find_bucket(seconds):
