--- a/kumquatsaddle/balance/tests/overload.feature
+++ b/kumquatsaddle/balance/tests/overload.feature
@@ -32,12 +32,21 @@
     Then most of its requests and few of the others are beyond the usual load
     And at least a quarter of its requests are not
 
+  Scenario: No account is starved
+    # Guards against an account all of whose requests go behind those of the others.
+    Then for any usual loads and floods each account keeps a quarter of the share of all
+
   Scenario: An account that repeats its requests raises nothing
     # Guards against a larger share for callers that retry more often.
     Given 20 accounts that each send 1 request a second for 60 seconds
     When one of them repeats each request 20 times for 10 seconds
     Then fewer than 4 requests a second of it are within the usual load
 
+  Scenario: What is beyond the usual load is refused while others are late
+    # Guards against a flood that takes slots through the queues of all instances.
+    Then requests beyond the usual load are refused only if others within it are late
+    And without accounts none is
+
   Scenario: The memory of accounts is bounded
     # Guards against 35,000 accounts at an instance with little memory.
     Then after requests of 35000 accounts at most 2000 are remembered
@@ -55,6 +64,11 @@
     Given a server that failed fast and a pool with the order by value
     Then waiting requests are not refused early
 
+  Scenario: A single doubtful server does not end a shortage
+    # Guards against requests that wait in vain because one of many servers is gray.
+    Then one doubtful server of 10 with free slots is a shortage and three are none
+    And a healthy one with a free slot is none
+
   Scenario: The cost of a change does not grow with the queue
     # Guards against an event loop that stands still while 500 requests wait.
     Then with 500 waiting requests a change takes one choice and no pass over all
--- a/kumquatsaddle/balance/tests/steps/overload.py
+++ b/kumquatsaddle/balance/tests/steps/overload.py
@@ -15,6 +15,7 @@
 from kumquatsaddle.balance.averages import RouteAverages
 from kumquatsaddle.balance.beliefs import Observation
 from kumquatsaddle.balance.budget import RetryLimits
+from kumquatsaddle.balance.choice import is_short_of_slots
 from kumquatsaddle.balance.overload import (
     DeadlineControl,
     QueueRefusal,
@@ -24,6 +25,7 @@
 )
 from kumquatsaddle.balance.pool import BalancedPool
 from kumquatsaddle.balance.rank_shares import RankShares
+from kumquatsaddle.balance.servers import BalancedServer
 from kumquatsaddle.discovery.records import ServerRecord
 from kumquatsaddle.dispatch.protocol import DEFAULT_PROTOCOL
 from kumquatsaddle.exceptions import QueueRefusedError
@@ -259,6 +261,36 @@
     assert excess > usual
 
 
+def count_refused_excess(late, started, account):
+    """Return how many of 100 requests beyond the usual load are refused."""
+    control = ValueControl(make_averages(), Random(1))
+    for number in range(started):
+        request = make_request(0.0, account=account)
+        # A late one starts when its objective has passed.
+        control.record_start(request, 1.5 if number < late else 0.0)
+    refused = 0
+    for _ in range(100):
+        request = make_request(1.5, account=account)
+        request.is_excess = account is not None
+        refusal = control.check_arrival(request, 1.5)
+        if refusal is not None:
+            assert refusal.rule is QueueRule.ACCOUNT
+            refused += 1
+    return refused
+
+
+@then("requests beyond the usual load are refused only if others within it are late")
+def check_excess_refused(context):
+    assert count_refused_excess(0, 100, "a") == 0
+    assert 20 <= count_refused_excess(5, 100, "a") <= 80
+    assert count_refused_excess(30, 100, "a") == 100
+
+
+@then("without accounts none is")
+def check_no_accounts(context):
+    assert count_refused_excess(30, 100, None) == 0
+
+
 @then("after requests of {count:d} accounts at most {most:d} are remembered")
 def check_memory(context, count, most):
     profiles = AccountProfiles()
@@ -471,3 +503,65 @@
 def check_others_once(context):
     for count, reached in context.runs:
         assert len(reached) == len(set(reached)) == count, (count, reached)
+
+
+def count_as_short(doubtful, healthy=0):
+    """Return whether 10 servers, of which some have all slots free, are a shortage."""
+    address = Address("127.0.0.1", 1)
+    servers = []
+    for number in range(10):
+        record = ServerRecord(f"b{number}", 1, "s", address, "here", SLOTS, False)
+        server = BalancedServer(record, DEFAULT_PROTOCOL, 0.0)
+        if number < doubtful:
+            for _ in range(4):
+                server.observe(0.0, Observation.FAILED_FAST)
+        elif number >= doubtful + healthy:
+            for key in range(SLOTS):
+                server.begin(key, 0.0, 5.0)
+        servers.append(server)
+    return is_short_of_slots(servers, 0.0)
+
+
+@then("one doubtful server of 10 with free slots is a shortage and three are none")
+def check_single_doubtful(context):
+    async def run():
+        assert count_as_short(0) and count_as_short(1) and count_as_short(2)
+        assert not count_as_short(3)
+
+    trio.run(run)
+
+
+@then("a healthy one with a free slot is none")
+def check_healthy(context):
+    async def run():
+        assert not count_as_short(0, 1) and not count_as_short(1, 1)
+
+    trio.run(run)
+
+
+@then("for any usual loads and floods each account keeps a quarter of the share of all")
+def check_no_starvation(context):
+    accounts = st.lists(
+        st.tuples(st.sampled_from([0.5, 1.0, 4.0]), st.sampled_from([1, 2, 3, 6, 9])),
+        min_size=2,
+        max_size=6,
+    )
+
+    @settings(max_examples=30)
+    @for_all(accounts)
+    def check(drawn):
+        context.profiles, context.random = AccountProfiles(), Random(5)
+        context.names = [f"a{number}" for number in range(len(drawn))]
+        context.now = 0.0
+        usual = {f"a{n}": rate for n, (rate, _) in enumerate(drawn)}
+        send(context, usual, 60)
+        send(context, {f"a{n}": r * factor for n, (r, factor) in enumerate(drawn)}, 15)
+        sums = [sum(values) for values in zip(*context.excess.values(), strict=True)]
+        for name, (within, beyond) in context.excess.items():
+            sent = within + beyond
+            assert within / max(1, sent) >= 0.25 * sums[0] / sum(sums) or sent < 20, (
+                name,
+                context.excess,
+            )
+
+    check()
