Bound what clients without a token cost at the operators' address

The operators' server of a node read each body, up to 1 MiB, before it looked at the token or answered /readyz, and had no limit of connections.

Only the API reads a body, after the token was checked. Connections take slots of the process and give way to newer ones; hypercorn's protocol is used without its listener, which has no such limit. New reason too-many of operator_refusals.

--- a/kumquatsaddle/entry/operators.py
+++ b/kumquatsaddle/entry/operators.py
@@ -12,9 +12,12 @@
 import json
 from urllib.parse import parse_qsl, unquote
 
-import hypercorn.trio
 import trio
+from hypercorn.app_wrappers import ASGIWrapper
 from hypercorn.config import Config
+from hypercorn.trio.tcp_server import TCPServer
+from hypercorn.trio.worker_context import WorkerContext
+from hypercorn.typing import ConnectionState
 
 from kumquatsaddle.configuration.api import ApiRequest, answer_api
 from kumquatsaddle.entry.status import describe_status, explain_request
@@ -27,6 +30,7 @@
 # A template of 50 routes has about 6 KB.
 _MAX_BODY_BYTES = 1 << 20
 _GRACEFUL_TIMEOUT_SECONDS = 1.0
+_LISTEN_BACKLOG = 100
 # Maximum time between bytes of a request; also applies to idle connections.
 _READ_TIMEOUT_SECONDS = 30.0
 _API_PREFIX = "/api/v1/"
@@ -67,14 +71,13 @@
             If the server cannot listen at the address.
         """
         config = Config()
-        config.bind = [str(address)]
         config.accesslog = config.errorlog = None
         config.graceful_timeout = _GRACEFUL_TIMEOUT_SECONDS
         config.keep_alive_timeout = config.read_timeout = _READ_TIMEOUT_SECONDS
         config.include_server_header = False
         try:
-            await hypercorn.trio.serve(
-                self.app, config, task_status=task_status, mode="asgi"
+            listeners = await trio.open_tcp_listeners(
+                address.port, host=address.host, backlog=_LISTEN_BACKLOG
             )
         except OSError as error:
             raise SettingsError(
@@ -83,6 +86,36 @@
                 "listen",
                 "operators",
             ) from None
+        # hypercorn.trio.serve has no limit of connections and never closes one whose
+        # caller reads nothing, so only its protocol is used here.
+        context = WorkerContext(None)
+        app = ASGIWrapper(self.app)
+
+        async def serve(stream):
+            await self._serve_connection(
+                stream, TCPServer(app, config, context, ConnectionState({}), stream)
+            )
+
+        task_status.started(listeners)
+        try:
+            await trio.serve_listeners(serve, listeners)
+        finally:
+            await context.terminated.set()
+
+    async def _serve_connection(self, stream, server):
+        """Serve a connection unless there are too many that wait less long."""
+        slots = self._node.client_limits.slots
+        slot = slots.open("operators", trio.current_time())
+        if slot is None:
+            self._count_refusal(OperatorRefusal.TOO_MANY)
+            await trio.aclose_forcefully(stream)
+            return
+        slot.close = stream.socket.close
+        try:
+            await server
+        finally:
+            slots.close(slot)
+            await trio.aclose_forcefully(stream)
 
     async def app(self, scope, receive, send):
         """Handle one ASGI connection, an HTTP request or the lifespan."""
@@ -91,17 +124,11 @@
             return
         if scope["type"] != "http":
             return
-        body = await _read_body(receive)
-        if body is None:
-            self._count_refusal(OperatorRefusal.TOO_LARGE)
-            reply = _json_reply(
-                413, {"error": f"request body exceeds {_MAX_BODY_BYTES} bytes"}
-            )
-        else:
-            reply = await self._answer_request(scope, body)
+        reply = await self._answer_request(scope, receive)
         await _send_response(send, scope["method"], *reply)
 
-    async def _answer_request(self, scope, body):
+    async def _answer_request(self, scope, receive):
+        # Only the API reads a body, and only with the right token.
         path, method = scope["path"], scope["method"]
         headers = {
             name.decode("latin-1").lower(): value.decode("latin-1")
@@ -117,6 +144,11 @@
             raw = scope.get("raw_path") or path.encode()
             raw = raw.decode("latin-1").partition("?")[0].removeprefix(_API_PREFIX)
             segments = tuple(unquote(part) for part in raw.split("/"))
+            body = await _read_body(receive)
+            if body is None:
+                self._count_refusal(OperatorRefusal.TOO_LARGE)
+                error = f"request body exceeds {_MAX_BODY_BYTES} bytes"
+                return _json_reply(413, {"error": error})
             return await self._answer_api(method, segments, query, headers, body)
         if method not in ("GET", "HEAD"):
             return _json_reply(
--- a/kumquatsaddle/types.py
+++ b/kumquatsaddle/types.py
@@ -154,6 +154,7 @@
     UNAUTHORIZED = "unauthorized"
     NO_TOKEN = "no-token"
     TOO_LARGE = "too-large"
+    TOO_MANY = "too-many"
 
 
 class BackendState(Enum):
