Bound the connections to the address between instances

An instance on the users' platform accepted any number of connections to its control address and kept silent ones for a second: 300 took 323 descriptors of 256. Together the addresses of a process took 483 and 720.

Connections there take slots of the process, with a floor that other addresses cannot use. A silent one gives way to a newer one at once; a fetch that was received whole stays.

--- a/kumquatsaddle/entry/connection_slots.py
+++ b/kumquatsaddle/entry/connection_slots.py
@@ -45,7 +45,7 @@
         self._waiting = {name: {} for name in servers}
         self._counts = dict.fromkeys(servers, 0)
 
-    def open(self, server, now, limit=math.inf):
+    def open(self, server, now, limit=math.inf, min_age=_MIN_AGE_SECONDS):
         """Return a slot for a new connection, or None if there is no room.
 
         Its attribute ``close`` is called without arguments if another connection takes
@@ -57,10 +57,12 @@
         now : float
         limit : int, optional
             Largest number of connections of this server.
+        min_age : float, optional
+            Time in seconds for which a connection is not replaced.
         """
         if not self._has_room(server, limit):
             at_limit = self._counts[server] >= limit
-            if not self._replace(server, now, at_limit):
+            if not self._replace(server, now - min_age, at_limit):
                 return None
         slot = _Slot(server, now)
         self._counts[server] += 1
@@ -99,8 +101,8 @@
         )
         return sum(self._counts.values()) + reserved < self.size
 
-    def _replace(self, server, now, at_limit):
-        """Close the connection that has waited longest, if there is one."""
+    def _replace(self, server, latest, at_limit):
+        """Close the connection that has waited longest, if it waits since `latest`."""
         if self.size is None:
             return False
         oldest = None
@@ -112,7 +114,7 @@
             slot = next(iter(waiting))
             if oldest is None or slot.waits_since < oldest.waits_since:
                 oldest = slot
-        if oldest is None or now - oldest.waits_since < _MIN_AGE_SECONDS:
+        if oldest is None or oldest.waits_since > latest:
             return False
         self.close(oldest)
         oldest.close()
--- a/kumquatsaddle/entry/control.py
+++ b/kumquatsaddle/entry/control.py
@@ -4,6 +4,7 @@
 
 from kumquatsaddle.configuration.transport import write_changes_reply
 from kumquatsaddle.dispatch.peers import read_headers, write_answer
+from kumquatsaddle.entry.connection_slots import make_connection_slots
 from kumquatsaddle.entry.proxy import make_proxy
 from kumquatsaddle.entry.tls import make_control_server_context
 from kumquatsaddle.exceptions import MessageError
@@ -72,9 +73,11 @@
     node : Node
     context : ssl.SSLContext, optional
         Without a context, links use plain TCP.
+    slots : ConnectionSlots, optional
+        Of the process; default: no bound beside that of the links.
     """
 
-    def __init__(self, node, context=None):
+    def __init__(self, node, context=None, slots=None):
         self.node = node
         self.max_links = _MAX_LINKS
         self.proxy = make_proxy(node)
@@ -83,6 +86,7 @@
         self._shortest_transits = {}
         self._tls_context = context
         self._link_count = 0
+        self._slots = slots or make_connection_slots(0, ("control",))
         # Cancel scopes of the links without a valid message yet, oldest first.
         self._unverified_links = {}
         for reason in LinkRefusal:
@@ -136,17 +140,29 @@
             self._count_refusal(LinkRefusal.TOO_MANY)
             await trio.aclose_forcefully(stream)
             return
+        slot = self._slots.open("control", trio.current_time(), min_age=0.0)
+        if slot is None:
+            self._count_refusal(LinkRefusal.TOO_MANY)
+            await trio.aclose_forcefully(stream)
+            return
         self._link_count += 1
+        scope = trio.CancelScope()
+        slot.close = scope.cancel
         try:
-            verified = await self._receive_first_message(stream)
-            if verified is not None:
-                await self._serve_messages(*verified)
+            with scope:
+                verified = await self._receive_first_message(stream)
+                if verified is not None:
+                    self._slots.mark_busy(slot)
+                    await self._serve_messages(*verified)
+            if scope.cancelled_caught:
+                self._count_refusal(LinkRefusal.DISPLACED)
         except* MessageError as group:
             reason = get_rejection_reason(group.exceptions[0])
             self.node.metrics.count("messages_rejected", reason=reason)
         except* (trio.BrokenResourceError, trio.ClosedResourceError):
             self.node.metrics.count("peer_links_broken")
         finally:
+            self._slots.close(slot)
             self._link_count -= 1
             await trio.aclose_forcefully(stream)
 
@@ -267,7 +283,8 @@
 
 def make_control_server(node):
     """Return the control server of a node."""
-    return ControlServer(node, make_control_server_context(node.settings))
+    context = make_control_server_context(node.settings)
+    return ControlServer(node, context, node.client_limits.slots)
 
 
 def _decode_request(forward, now, delay):
--- a/kumquatsaddle/lifecycle/routed_node.py
+++ b/kumquatsaddle/lifecycle/routed_node.py
@@ -130,7 +130,11 @@
             parts.store, self.peers, self._update_servers, self._update_routes
         )
         self.exchange = make_zone_exchange(
-            self.peers, self.dispatcher, self, self.metrics
+            self.peers,
+            self.dispatcher,
+            self,
+            self.metrics,
+            self.client_limits.slots,
         )
         self.follower.exchange = self.exchange
         self.capacity = _compute_capacity(settings)
--- a/kumquatsaddle/sharing/exchange.py
+++ b/kumquatsaddle/sharing/exchange.py
@@ -12,6 +12,7 @@
 
 from kumquatsaddle.balance.beliefs import Observation
 from kumquatsaddle.balance.limit_shares import LimitShares
+from kumquatsaddle.entry.connection_slots import make_connection_slots
 from kumquatsaddle.exceptions import MessageError
 from kumquatsaddle.sharing.announcements import (
     NO_ANNOUNCEMENTS,
@@ -32,6 +33,7 @@
 from kumquatsaddle.sharing.schedule import MAX_INTERVAL_SECONDS, ReportSchedule, Scope
 from kumquatsaddle.sharing.summary_exchange import SummaryExchange
 from kumquatsaddle.sharing.survivals import SurvivalReports
+from kumquatsaddle.types import LinkRefusal
 
 __all__ = ["ZoneExchange", "make_zone_exchange"]
 
@@ -57,9 +59,11 @@
     node : RoutedNode
         Provides the state of this instance for reports, and answers fetches.
     metrics : Metrics
+    slots : ConnectionSlots, optional
+        Of the process; default: no bound of the connections that fetch.
     """
 
-    def __init__(self, peers, dispatcher, node, metrics):
+    def __init__(self, peers, dispatcher, node, metrics, slots=None):
         self.peers = peers
         self._dispatcher = dispatcher
         self._node = node
@@ -90,6 +94,7 @@
             self._limit_shares.is_responsible,
         )
         self._long_updates = make_long_update_limiter()
+        self._slots = slots or make_connection_slots(0, ("control",))
         dispatcher.on_answer = self._on_answer
         dispatcher.on_limit_changed = self._on_limit_changed
         dispatcher.on_departure = self._on_departure
@@ -363,11 +368,30 @@
         self._node.fetch_if_newer(peer)
 
     async def _serve_fetch(self, stream):
-        await serve_fetch(
-            stream, self._node.make_update, self._metrics, self._long_updates
-        )
+        """Serve a fetch; silent connections give way to newer ones."""
+        slot = self._slots.open("control", trio.current_time(), min_age=0.0)
+        if slot is None:
+            self._metrics.count("peer_links_refused", reason=LinkRefusal.TOO_MANY.value)
+            await trio.aclose_forcefully(stream)
+            return
+        scope = trio.CancelScope()
+        slot.close = scope.cancel
+        try:
+            with scope:
+                await serve_fetch(
+                    stream,
+                    self._node.make_update,
+                    self._metrics,
+                    self._long_updates,
+                    lambda: self._slots.mark_busy(slot),
+                )
+            if scope.cancelled_caught:
+                reason = LinkRefusal.DISPLACED.value
+                self._metrics.count("peer_links_refused", reason=reason)
+        finally:
+            self._slots.close(slot)
 
 
-def make_zone_exchange(peers, dispatcher, node, metrics):
+def make_zone_exchange(peers, dispatcher, node, metrics, slots=None):
     """Return the exchange of one instance; see `ZoneExchange`."""
-    return ZoneExchange(peers, dispatcher, node, metrics)
+    return ZoneExchange(peers, dispatcher, node, metrics, slots)
--- a/kumquatsaddle/sharing/fetches.py
+++ b/kumquatsaddle/sharing/fetches.py
@@ -61,7 +61,7 @@
     return trio.CapacityLimiter(_MAX_LONG_UPDATES)
 
 
-async def serve_fetch(stream, make_update, metrics, limiter):
+async def serve_fetch(stream, make_update, metrics, limiter, on_read=lambda: None):
     """Answer one fetch and close the stream.
 
     The stream is closed without an answer if a long update has to wait too long.
@@ -74,12 +74,15 @@
     metrics : Metrics
     limiter : trio.CapacityLimiter
         Of the long updates that are sent at the same time.
+    on_read : callable, optional
+        Called without arguments when a whole fetch was received.
     """
     try:
         with trio.move_on_after(_SERVE_TIMEOUT_SECONDS):
             data = await FrameReader(stream, _MAX_FETCH_BYTES).read()
             if data is not None:
                 fetch = decode_fetch(data)
+                on_read()
                 update = encode_update(make_update(fetch), fetch.accepts_compressed)
                 await _write_in_turn(stream, update, metrics, limiter)
     except (MessageError, trio.BrokenResourceError) as error:
