--- a/kumquatsaddle/entry/caller_connections.py
+++ b/kumquatsaddle/entry/caller_connections.py
@@ -185,7 +185,8 @@
 
     def close_for_descriptors(self):
         """End the connection, because another one needs its descriptor."""
-        self._limits.count_closure(ClientClosure.DESCRIPTORS)
+        share = self._share
+        self._limits.log_closure(ClientClosure.DESCRIPTORS, share.peer, share.held)
         self._scope.cancel()
 
     async def send_interim_response(self, data):
@@ -195,7 +196,8 @@
         await self._write(data)
 
     def _close_for_memory(self):
-        self._limits.count_closure(ClientClosure.MEMORY)
+        share = self._share
+        self._limits.log_closure(ClientClosure.MEMORY, share.peer, share.held)
         if self._reader.phase is ReadPhase.READING and not self._pending:
             self._closed_for_memory = True
             self._reader.scope.cancel()
--- a/kumquatsaddle/entry/callers.py
+++ b/kumquatsaddle/entry/callers.py
@@ -180,6 +180,7 @@
 
     def _update_connection_gauge(self):
         self.node.metrics.set_gauge("caller_connections", len(self._connections))
+        self.limits.update_gauges()
 
     async def _refuse_connection(self, stream):
         reason = RefusalReason.TOO_MANY_CONNECTIONS
--- a/kumquatsaddle/entry/client_limits.py
+++ b/kumquatsaddle/entry/client_limits.py
@@ -1,11 +1,13 @@
 """What all servers of a process share among their clients: memory and descriptors."""
 
 import ctypes
+import math
 
 import trio
 
 from kumquatsaddle.entry.connection_slots import make_connection_slots
 from kumquatsaddle.entry.memory_budget import make_memory_budget
+from kumquatsaddle.logs import log_event
 from kumquatsaddle.types import ClientClosure
 
 __all__ = ["ClientLimits", "make_client_limits"]
@@ -15,6 +17,7 @@
 # the bodies of a crowd then leave gaps in the heap that are never returned.
 _M_MMAP_THRESHOLD = -3
 _MMAP_THRESHOLD_BYTES = 131072
+_LOG_INTERVAL_SECONDS = 1.0
 _SERVERS = ("callers", "control", "operators", "directory", "readiness", "metrics")
 
 
@@ -40,6 +43,7 @@
         self.slots = slots
         self.parse_turn = trio.Lock()
         self._metrics = metrics
+        self._logged_at = {}
         for closure in ClientClosure:
             self.count_closure(closure, 0)
 
@@ -47,6 +51,22 @@
         """Count connections that were closed in favor of others."""
         self._metrics.count("client_closures", amount, reason=closure.value)
 
+    def log_closure(self, closure, peer, held):
+        """Count one closed connection, and log at most one of its kind a second."""
+        self.count_closure(closure)
+        now = trio.current_time()
+        if now - self._logged_at.get(closure, -math.inf) < _LOG_INTERVAL_SECONDS:
+            return
+        self._logged_at[closure] = now
+        log_event(
+            "client_closed",
+            level="WARNING",
+            reason=closure.value,
+            peer=peer,
+            held=held,
+            used=self.memory.used,
+        )
+
     def update_gauges(self):
         """Show the memory in use."""
         self._metrics.set_gauge("client_memory_bytes", self.memory.used)
