Tell callers of instances in proportion to their capacity

Cause: callers use the addresses that they are told alike, so that an instance with a link of 10 Mbit/s and 0.43 core got as many requests as one with 200 Mbit/s and 2.15 cores. Change: an active instance with less than half of the highest capacity of its zone is told to a part of the callers only, by its capacity. Instances of the same size are told as before.

--- a/kumquatsaddle/lifecycle/routed_node.py
+++ b/kumquatsaddle/lifecycle/routed_node.py
@@ -7,6 +7,7 @@
 
 from dataclasses import dataclass
 from pathlib import Path
+from random import Random
 from typing import Any
 
 import trio
@@ -170,6 +171,7 @@
         self.follower.contact.get_arrival_delay = get_arrival_delay
         self.dispatcher.get_arrival_delay = get_arrival_delay
         self._caller_config = _CallerServerConfig(settings, self.metrics)
+        self._random = Random()
         self._leaving = False
         self.callers = None
 
@@ -191,6 +193,12 @@
         """Return the `InstanceRecord` of the instances for callers of this zone."""
         return self.peers.list_active(self.is_serving(), self.capacity)
 
+    def choose_addresses(self):
+        """Return the `InstanceRecord` of the instances that one caller is told."""
+        return self.peers.choose_addresses(
+            self.is_serving(), self.capacity, self._random
+        )
+
     def list_quota_owners(self):
         """Return the instances of this zone that may own the quotas of accounts."""
         return self.peers.list_strongest(self.is_serving(), self.capacity)
--- a/kumquatsaddle/sharing/peers.py
+++ b/kumquatsaddle/sharing/peers.py
@@ -220,6 +220,26 @@
         active = self._rank_active(is_serving, capacity)
         return [record for found, record in active if 2 * found >= active[0][0]]
 
+    def choose_addresses(self, is_serving, capacity, random):
+        """Return the `InstanceRecord` of the instances for one caller.
+
+        Callers use the addresses that they are told alike. So that the load of an
+        instance follows its capacity, one with less than half of the highest is told to
+        a part of the callers only.
+
+        Parameters
+        ----------
+        is_serving, capacity : bool, float
+            See `list_active`.
+        random : random.Random
+        """
+        active = self._rank_active(is_serving, capacity)
+        return [
+            record
+            for found, record in active
+            if 2 * found >= active[0][0] or random.random() < found / active[0][0]
+        ]
+
     def _rank_active(self, is_serving, capacity):
         """Return the active instances with their capacity, the highest first."""
         serving = [
