Split two decisions out of the transport of quotas

Change: ZoneDescriptions in accounts decides that; OwnerAddresses in sharing finds the control addresses of owners. Constants name their purpose. No change of behaviour.

--- a/kumquatsaddle/sharing/quotas.py
+++ b/kumquatsaddle/sharing/quotas.py
@@ -21,9 +21,11 @@
 from kumquatsaddle.accounts.quota_owner import Grant, QuotaOwner, QuotaRefusal
 from kumquatsaddle.accounts.quota_tokens import QuotaTokens
 from kumquatsaddle.accounts.restart_tokens import RestartTokens
+from kumquatsaddle.accounts.zone_descriptions import ZoneDescriptions
 from kumquatsaddle.addresses.scores import hash_name
 from kumquatsaddle.exceptions import RefusedError
 from kumquatsaddle.logs import log_event
+from kumquatsaddle.sharing.owner_addresses import OwnerAddresses
 from kumquatsaddle.sharing.quota_asks import AnsweredAsks, PendingAsks, SilentOwners
 from kumquatsaddle.sharing.quota_log import QuotaLog
 from kumquatsaddle.sharing.quota_messages import (
@@ -35,15 +37,14 @@
 
 __all__ = ["Quotas", "make_quotas"]
 
+# Time between updates of the instances in contact.
 _TICK_SECONDS = 0.25
 # Shorter than the validity of a token. A datagram may wait for 0.4 s behind the largest
 # answers on a link of 10 Mbit/s.
 _ANSWER_TIMEOUT_SECONDS = 0.45
+# Updates between two removals of idle state.
 _IDLE_CHECK_TICKS = 40
-# The active instances are described in each summary for this time after a change, and
-# in one of some summaries afterwards, for instances that started since.
-_DESCRIBED_AFTER_CHANGE_SECONDS = 3.0
-_SUMMARIES_PER_DESCRIPTION = 8
+# Retry-After while it is not known when a grant is possible.
 _UNKNOWN_RETRY_SECONDS = 0.5
 # Resolution of the header Retry-After.
 _MIN_RETRY_SECONDS = 0.1
@@ -89,11 +90,8 @@
         self._asks = PendingAsks()
         self._incarnation = randbits(64)
         self._answered = AnsweredAsks()
-        self._zone_view = None
-        self._active_changed_at = now
-        self._summaries = 0
-        # Control addresses by the hash of the instance name.
-        self._addresses = {}
+        self._descriptions = ZoneDescriptions(now)
+        self._addresses = OwnerAddresses(self._peers)
         self._log = QuotaLog(now)
         self.is_listed = False
         for refusal in QuotaRefusal:
@@ -152,7 +150,12 @@
         return self._restart_tokens.try_take(account.name, account.quota, active, now)
 
     def give_back(self, account):
-        """Return the token of a `ClientAccount` whose request was refused unrun."""
+        """Return the token of an account's request that was admitted and has not run.
+
+        Parameters
+        ----------
+        account : ClientAccount
+        """
         if account.quota is None:
             return
         name, now = account.name, self._clock()
@@ -186,11 +189,7 @@
         self._contact.note_peers(peers.peers, now)
         active = [record.name for record in self._list_candidates()]
         zone_view = self._contact.make_zone_view(active, now)
-        if zone_view != self._zone_view:
-            known = self._zone_view
-            if known is None or zone_view.active != known.active:
-                self._active_changed_at = now
-            self._zone_view = zone_view
+        if self._descriptions.update(zone_view, now):
             self._exchange.send_summary_soon()
         listed = {
             zone: len(records) for zone, records in peers.group_other_zones().items()
@@ -232,19 +231,12 @@
 
         The view is None without client accounts.
         """
-        if self._zone_view is None:
-            return None, ()
-        self._summaries += 1
-        unchanged = self._clock() - self._active_changed_at
-        is_new = unchanged < _DESCRIBED_AFTER_CHANGE_SECONDS
-        records = ()
-        if is_new or self._summaries % _SUMMARIES_PER_DESCRIPTION == 0:
-            records = tuple(
-                record
-                for record in self._list_candidates()
-                if hash_name(record.name) in self._zone_view.active
-            )
-        return self._zone_view, records
+        view = self._descriptions.view
+        if view is None or not self._descriptions.add_summary(self._clock()):
+            return view, ()
+        candidates = self._list_candidates()
+        records = [item for item in candidates if hash_name(item.name) in view.active]
+        return view, tuple(records)
 
     def handle(self, data, address):
         """Handle a datagram with a `QuotaMessage`.
@@ -356,7 +348,7 @@
                     )
                     for ask in asks
                 )
-                address = self._find_address(owner)
+                address = self._addresses.find(owner)
                 if address is None:
                     self._metrics.count("quota_owners_unknown")
                     continue
@@ -378,14 +370,6 @@
         self._tokens.remove_idle(now)
         self._metrics.set_gauge("quota_buckets", len(self._owner))
 
-    def _find_address(self, owner):
-        if owner not in self._addresses:
-            self._addresses = {
-                hash_name(record.name): record.control
-                for record in self._peers.instances.values()
-            }
-        return self._addresses.get(owner)
-
     def _send(self, message, address):
         data = encode_quota_message(message)
         self._metrics.count("quota_messages_sent")
@@ -399,17 +383,12 @@
             request_id,
             account.name,
             grant,
-            self._describe_owner(owner),
+            self._addresses.describe(owner),
             retry_after,
             self._clock(),
         )
         raise RefusedError(RefusalReason.ACCOUNT_LIMIT, cause.value, retry_after)
 
-    def _describe_owner(self, owner):
-        """Return the address of an owner for the log."""
-        own = owner == self._history.own
-        return "self" if own else str(self._find_address(owner) or "unknown")
-
 
 def make_quotas(exchange, list_candidates, get_accounts, metrics, bounds, clock):
     """Return the quotas of one instance, attached to its exchange; see `Quotas`."""
