Name what the queue of a service decides and when

Cause: is_waiting_before included the rank itself, is_last meant a place behind newer requests, and find_refusals and _refuse_scarce were described for an earlier rule. No change of behaviour.

--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -260,7 +260,7 @@
             control.record_loss(request, now)
             self.refuse(call, refusal.retry_after)
             return
-        if self.free_slots and not control.queue.is_waiting_before(request.rank):
+        if self.free_slots and not control.queue.has_waiting_up_to(request.rank):
             self.start(instance, request, call)
             return
         expected = instance.averages.estimate_seconds(route)
--- a/kumquatsaddle/balance/account_profiles.py
+++ b/kumquatsaddle/balance/account_profiles.py
@@ -24,7 +24,7 @@
 # 5% exceed a burst of 4 at 1.5 times the rate, and 40% one of 2 at 1.25 times.
 _BURST_REQUESTS = 4.0
 _BURST_SECONDS = 2.0
-# Time from the first request after which loads count as usual.
+# Time from the first request of the service after which loads count as usual.
 _MIN_KNOWN_SECONDS = 15.0
 # Accounts kept for each service. Those that sent nothing for longest are forgotten.
 _MAX_ACCOUNTS = 2000
--- a/kumquatsaddle/balance/overload.py
+++ b/kumquatsaddle/balance/overload.py
@@ -1,4 +1,8 @@
-"""Which waiting requests of one service are refused under scarcity, and when to return.
+"""Order of the requests that wait for a service, and which are refused under scarcity.
+
+A refusal names the time after which the request may be repeated. Requests are refused
+on arrival if they are beyond the usual load of their account, while they wait if they
+cannot start in time, and at both if a more urgent rank is served less often.
 
 Handles the queue of one instance, which gets its share of the slots of all servers: a
 few to some tens of starts a second, and bursts of several seconds. Each decision is
@@ -41,8 +45,9 @@
 # A shortage is expected to last for this share of the time that it has lasted. With all
 # of it, requests with long deadlines were refused although the burst ended in time.
 _HORIZON_SHARE = 0.5
-# Share of the requests beyond the usual load that is refused, for each part of those
-# within it that are late or refused. At a tenth of these all others are refused.
+# Share of the requests beyond the usual load that is refused, as a multiple of the
+# share of those within it that are late or refused. From a tenth of these on, all
+# requests beyond the usual load are refused.
 _EXCESS_FACTOR = 10.0
 # Part of the starts that go before a waiting less urgent rank and give it one start.
 _FLOOR_SHARE = 0.05
@@ -50,9 +55,10 @@
 # A rank gets its floor while its served share is below this part of that of each more
 # urgent rank, which must not be served less often.
 _FLOOR_RATIO = 0.5
-# A request arrives with the whole timeout of its route less the time on the way, unless
-# its caller has sent it before.
+# Time missing from the timeout of its route at which a request counts as sent before. A
+# new one lacks only the time on the way.
 _REPEATED_SECONDS = 0.1
+# Bounds of a Retry-After.
 _MIN_RETRY_SECONDS, _MAX_RETRY_SECONDS = 0.1, 10.0
 # Range of the random factor of a Retry-After, which spreads the returning requests.
 _RETRY_SPREAD = (0.8, 1.3)
@@ -216,7 +222,7 @@
             if rank > request.rank and self.queue.count_by_rank(rank):
                 credit = self._credits[rank] + _FLOOR_SHARE
                 self._credits[rank] = min(_MAX_FLOOR_CREDIT, credit)
-        if self.queue.is_waiting_before(request.rank - 1):
+        if self.queue.has_waiting_up_to(request.rank - 1):
             # It passed a more urgent one by its floor.
             self._credits[request.rank] = 0.0
 
@@ -241,7 +247,8 @@
     def find_refusals(self, now):
         """Return the waiters to refuse with their `QueueRefusal`.
 
-        Call it at most once for each arrival, and only while no server has a free slot.
+        Call it at most once for each arrival or pass over the queue, because it looks
+        at all waiters, and only in a shortage of slots; see `is_short_of_slots`.
         """
         self._rate.advance(now, bool(self.queue))
         parts = self.queue.list_parts(now)
@@ -264,9 +271,9 @@
         forecasts = self._make_forecasts(now)
         for part in parts:
             for waiter in part:
-                is_last = waiter.is_excess or waiter.objective_start < now
-                wait = forecasts[waiter.rank, is_last].estimate(work_before)
-                if not is_last and now + wait > waiter.objective_start:
+                is_behind_newer = waiter.is_excess or waiter.objective_start < now
+                wait = forecasts[waiter.rank, is_behind_newer].estimate(work_before)
+                if not is_behind_newer and now + wait > waiter.objective_start:
                     # It will be late, and then newer requests go before it.
                     wait = forecasts[waiter.rank, True].estimate(work_before)
                 if now + wait <= waiter.until:
@@ -294,11 +301,15 @@
         horizon = _HORIZON_SHARE * self._rate.compute_busy_age(now)
         forecasts = {}
         for rank in Rank:
-            for is_last in (False, True):
-                ahead = [o for o in Rank if o < rank or (is_last and o == rank)]
+            for is_behind_newer in (False, True):
+                ahead = [
+                    other
+                    for other in Rank
+                    if other < rank or (is_behind_newer and other == rank)
+                ]
                 arrivals = self._rate.estimate_arrivals(ahead, _OPTIMISM)
                 usual = min(arrivals, self._rate.estimate_usual_arrivals(ahead))
-                forecasts[rank, is_last] = Forecast(
+                forecasts[rank, is_behind_newer] = Forecast(
                     rate - arrivals, rate - usual, horizon
                 )
         self._forecasts_at, self._forecasts = now, forecasts
@@ -315,13 +326,13 @@
             surplus = self._shares.count_surplus(rank, waiting, now) if waiting else 0
             if not surplus:
                 continue
-            last = [
+            remaining = [
                 waiter
                 for part in parts
                 for waiter in part
                 if waiter.rank == rank and waiter not in refused
             ]
-            for place, waiter in list(enumerate(last))[-surplus:]:
+            for place, waiter in list(enumerate(remaining))[-surplus:]:
                 refusal = self._make_refusal(
                     QueueRule.RANK, waiter, place, self.queue.sum_work(rank), now
                 )
--- a/kumquatsaddle/balance/pool.py
+++ b/kumquatsaddle/balance/pool.py
@@ -29,8 +29,8 @@
 # A request waits for a server that takes requests again this soon: its caller could
 # not come back earlier.
 _SHORT_PAUSE_SECONDS = 0.5
-# With more waiting requests than this, the queue is searched for those to refuse only
-# at each pass over it, not at each arrival.
+# Number of waiting requests up to which the queue is searched for those to refuse at
+# each arrival. With more, it is searched at each pass only: a search looks at all.
 _MAX_WAITING_SEARCHED_AT_ARRIVAL = 50
 
 
@@ -79,7 +79,7 @@
         self._control = make_queue_control(policy, averages)
         self._waiters = self._control.queue
         self._report = QueueReport(metrics, service)
-        self._passed_at = float("-inf")
+        self._searched_at = float("-inf")
         self._drain_rate = DrainRate()
         self._assigned_at = float("-inf")
         self._local_first = ()
@@ -149,12 +149,12 @@
         if not excluded:
             self._count_arrival(request)
         server = None
-        if not self._waiters.is_waiting_before(request.rank):
+        if not self._waiters.has_waiting_up_to(request.rank):
             server = self._choose(request, excluded)
         return server or await self._wait_for_server(request, excluded, until)
 
     def _count_arrival(self, request):
-        """Count a request that was not sent yet; raise if it must not be now."""
+        """Count a request not sent yet; raise `QueueRefusedError` if it is refused."""
         now = trio.current_time()
         self._control.record_arrival(request, now)
         refusal = self._control.check_arrival(request, now)
@@ -179,7 +179,8 @@
                 self._waiters.remove(waiter)
         if waiter.server is None:
             self._raise_if_paused(request, excluded)
-            self._raise_if_refused(waiter)
+            if waiter.refusal is not None:
+                raise QueueRefusedError(waiter.refusal, request.service)
             self._raise_if_limited(waiter)
             now = trio.current_time()
             if now >= until and is_short_of_slots(self.servers.values(), now):
@@ -208,13 +209,13 @@
         self._assign_in_order(now)
         if self._waiters:
             self._refuse_limited()
-        if now - self._passed_at >= _QUEUE_CHECK_INTERVAL_SECONDS:
-            self._passed_at = now
+        if now - self._searched_at >= _QUEUE_CHECK_INTERVAL_SECONDS:
+            self._searched_at = now
             self._refuse_scarce()
             self._report.update(self._control, now)
 
     def _release_paused(self):
-        """Let go of the requests for which all servers are paused."""
+        """End the wait of the requests for which all servers are paused."""
         paused = {
             excluded
             for excluded in {key[-1] for key in self._waiters.list_selection_keys()}
@@ -242,7 +243,7 @@
                 waiter.event.set()
 
     def _refuse_scarce(self):
-        """Refuse the waiting requests that cost least, if there are too many."""
+        """Refuse what the queue control chooses, in a shortage of slots only."""
         now = trio.current_time()
         if not (self._waiters and self._control.refuses_early):
             return
@@ -255,18 +256,13 @@
             self._control.record_loss(waiter.request, now)
             self._report.add_refusal(waiter.request, refusal, now)
 
-    def _raise_if_refused(self, waiter):
-        """Raise `QueueRefusedError` if a request was refused under scarcity."""
-        if waiter.refusal is not None:
-            raise QueueRefusedError(waiter.refusal, waiter.request.service)
-
     def refuse_waiting(self, is_refused=lambda request: True):
-        """Let the waiting requests go without a server.
+        """End the wait of the waiting requests without a server.
 
         Parameters
         ----------
         is_refused : callable, optional
-            Returns whether a `RoutedRequest` is let go; default: all are.
+            Returns whether the wait of a `RoutedRequest` ends; default: of all.
         """
         for waiter in self._waiters.list_waiting():
             if is_refused(waiter.request):
--- a/kumquatsaddle/balance/queue_report.py
+++ b/kumquatsaddle/balance/queue_report.py
@@ -5,7 +5,7 @@
 
 __all__ = ["QueueReport"]
 
-# Log lines of refusals in each second; a flood must not fill the log.
+# Log lines of refusals of one service in each second; a flood must not fill the log.
 _MAX_LINES_PER_SECOND = 5
 
 
--- a/kumquatsaddle/balance/servers.py
+++ b/kumquatsaddle/balance/servers.py
@@ -264,7 +264,7 @@
         rate : float or None
             In requests a second; None if the answer stated none.
         stated_at : float
-            When the answer arrived; see `read_elapsed_time`.
+            When the answer arrived, on the clock `read_elapsed_time` in seconds.
         is_first_hand : bool, default=True
             Whether the answer arrived at this instance.
         """
--- a/kumquatsaddle/balance/slot_rate.py
+++ b/kumquatsaddle/balance/slot_rate.py
@@ -1,4 +1,4 @@
-"""The rates at which requests start from the queue of one service and arrive at it.
+"""The rates at which work starts from the queue of one service and arrives at it.
 
 Handles a queue with a few to some tens of starts a second: the rates are averages over
 some seconds, with the uncertainty that so few starts leave.
--- a/kumquatsaddle/balance/waiting.py
+++ b/kumquatsaddle/balance/waiting.py
@@ -142,7 +142,7 @@
         """Return the expected work of a rank and of more urgent ones, in seconds."""
         return sum(self._work_by_rank[other] for other in Rank if other <= rank)
 
-    def is_waiting_before(self, rank):
+    def has_waiting_up_to(self, rank):
         """Return whether a request of a rank or a more urgent one waits."""
         return any(self._by_rank[other] for other in Rank if other <= rank)
 
@@ -187,8 +187,9 @@
         return [self._entries]
 
 
-# Parts of a rank, in their order. Late requests within the usual load of their account
-# go before those beyond it, so that a flood delays no other account.
+# Parts of a rank, in their order: whether beyond the usual load of the account, and
+# whether late. Late requests within the usual load go before those beyond it, so that a
+# flood delays no other account.
 _PARTS = ((False, False), (False, True), (True, False), (True, True))
 
 
