Describe constants and clocks where a reader had to guess

Cause: constants without unit or reason, a constant that stood apart from the one to which its comment refers, and docstrings that named the wrong condition. Change: comments, docstrings and one private parameter. No change of behaviour.

--- a/kumquatsaddle/accounts/fleet_contact.py
+++ b/kumquatsaddle/accounts/fleet_contact.py
@@ -45,7 +45,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ZoneView:
-    """What one zone says of its instances.
+    """What the leader of a zone reports of its instances.
 
     Parameters
     ----------
--- a/kumquatsaddle/accounts/quota_owner.py
+++ b/kumquatsaddle/accounts/quota_owner.py
@@ -24,18 +24,20 @@
 
 # How long tokens that were granted in advance are valid.
 ADVANCE_SECONDS = 0.5
-# Part of the slack by which the capacity of a bucket exceeds the burst. A bucket of one
-# token is full, and loses what it would get, whenever no request comes in time.
+# Part of the slack by which the capacity of a bucket exceeds the burst. Without it, a
+# bucket of one token is full, and loses what it would get, whenever no request arrives
+# in time.
 _CAPACITY_SLACK_FRACTION = 0.25
 # Part of the tolerated excess that may be granted in advance and not used yet.
 _ADVANCE_FRACTION = 0.25
 # Part of the capacity below which nothing is granted in advance. Tokens that expire
 # unused are lost, so none are held while the quota is nearly used up.
 _ADVANCE_RESERVE = 0.5
-# Retry-After while it is not known when a grant is possible.
+# Retry-After while it is not known when a grant is possible, in seconds.
 _UNKNOWN_RETRY_SECONDS = 0.5
 # Refused requests are told different times, up to this much after the first token.
 _MAX_SPREAD_SECONDS = 2.0
+# Bound of a Retry-After, also for a rate of 0.
 _MAX_RETRY_SECONDS = 30.0
 # Absorbs rounding when a bucket has exactly one token again.
 _ROUNDING = 1e-9
--- a/kumquatsaddle/accounts/quota_tokens.py
+++ b/kumquatsaddle/accounts/quota_tokens.py
@@ -15,10 +15,11 @@
 
 __all__ = ["QuotaTokens"]
 
-# Time constant of the mean of the demand.
+# Time constant of the exponential mean of the demand.
 _DEMAND_SECONDS = 1.0
 # Tokens in advance cover the demand of this time, half of their validity.
 _ADVANCE_DEMAND_SECONDS = 0.25
+# Most tokens in advance that one ask requests.
 _MAX_ADVANCE = 16
 # Longest time for which the refusal of an owner is repeated without asking it again. It
 # bounds the messages of an account that sends many times its quota.
--- a/kumquatsaddle/accounts/restart_tokens.py
+++ b/kumquatsaddle/accounts/restart_tokens.py
@@ -2,8 +2,8 @@
 
 When all instances of a zone restart at the same moment, for example after a loss of
 power, each account has a new owner, and new owners grant nothing at first: a former one
-might still do so. Here none is left. Until the owners grant, each active instance
-admits a fixed part of each quota by itself.
+might still do so. After such a restart there is no former one. Until the owners grant,
+each active instance admits a fixed part of each quota by itself.
 
 Load: the first seconds after such a restart, in which all callers return at once.
 
--- a/kumquatsaddle/dispatch/rate_limits.py
+++ b/kumquatsaddle/dispatch/rate_limits.py
@@ -53,7 +53,8 @@
     rate : float or None
         Requests a second from all instances together; None without a limit.
     stated_at : float
-        When the answer arrived that stated it, in seconds on the clock of the caller.
+        When the answer arrived that stated it, in seconds on one clock for all calls of
+        `state`.
     is_first_hand : bool
         Whether this instance got that answer.
     """
--- a/kumquatsaddle/entry/client_limits.py
+++ b/kumquatsaddle/entry/client_limits.py
@@ -17,7 +17,10 @@
 # the bodies of a crowd then leave gaps in the heap that are never returned.
 _M_MMAP_THRESHOLD = -3
 _MMAP_THRESHOLD_BYTES = 131072
+# Shortest time between log lines of closures of one kind; a crowd must not fill the
+# log.
 _LOG_INTERVAL_SECONDS = 1.0
+# Keys of ``[listen]`` of all servers that a process may have.
 _SERVERS = ("callers", "control", "operators", "directory", "readiness", "metrics")
 
 
--- a/kumquatsaddle/entry/operators.py
+++ b/kumquatsaddle/entry/operators.py
@@ -102,8 +102,8 @@
         finally:
             await context.terminated.set()
 
-    async def _serve_connection(self, stream, server):
-        """Serve a connection unless there are too many that wait less long."""
+    async def _serve_connection(self, stream, protocol):
+        """Serve a connection, or close it if it gets no slot."""
         slots = self._node.client_limits.slots
         slot = slots.open("operators", trio.current_time())
         if slot is None:
@@ -112,7 +112,7 @@
             return
         slot.close = stream.socket.close
         try:
-            await server
+            await protocol
         finally:
             slots.close(slot)
             await trio.aclose_forcefully(stream)
--- a/kumquatsaddle/entry/request_reader.py
+++ b/kumquatsaddle/entry/request_reader.py
@@ -214,7 +214,7 @@
         )
 
     def _skip_body(self, request, length):
-        """Discard a short body as it arrives; close after the answer for others."""
+        """Discard a short body as it arrives; a longer one ends the connection."""
         waits = self._parser.they_are_waiting_for_100_continue
         if waits or length is None or length > _MAX_DISCARDED_BYTES:
             request.ends_connection = True
--- a/kumquatsaddle/entry/streams.py
+++ b/kumquatsaddle/entry/streams.py
@@ -17,13 +17,11 @@
 
 # Buffer size at which the reader stops reading, which makes the caller wait.
 READ_AHEAD_BYTES = 65536
-# Bytes received within this time of each other share one time of arrival.
-_ARRIVAL_RESOLUTION_SECONDS = 0.01
-
-
 # The same where the memory of clients is bounded. The buffer of a connection that sends
 # faster than its requests are read holds up to twice as much.
 BOUNDED_READ_AHEAD_BYTES = 16384
+# Bytes received within this time of each other share one time of arrival.
+_ARRIVAL_RESOLUTION_SECONDS = 0.01
 
 
 class CallerStream:
@@ -33,8 +31,8 @@
     ----------
     stream : trio.abc.Stream
     read_ahead_bytes : int, optional
-        Buffer size at which the reader stops until bytes are taken.
-        At most as many are received at a time.
+        Buffer size at which the reader stops until bytes are taken, and the most bytes
+        that are received at a time.
     share : ConnectionShare, optional
         Counts the bytes in the buffer.
 
--- a/kumquatsaddle/sharing/quota_asks.py
+++ b/kumquatsaddle/sharing/quota_asks.py
@@ -16,12 +16,14 @@
 # Time after which an ask without an answer is repeated. A datagram each way takes at
 # most 7 ms, an answer by a busy owner some 50 ms.
 _REPEAT_SECONDS = 0.08
+# Times that an ask is sent, the first one included.
 _MAX_SENDINGS = 3
 # Requests without an answer after which an owner counts as silent; a single one may be
 # lost on a full link.
 _MIN_UNANSWERED = 3
 # Time between two asks to an owner that has not answered the last one.
 _PROBE_SECONDS = 0.25
+# Numbers of asks have 32 bits in `quotas.capnp`.
 _MAX_NUMBER = 1 << 32
 # Time for which the answer to an ask is kept in case the ask is repeated.
 _ANSWER_KEPT_SECONDS = 1.0
@@ -132,7 +134,7 @@
         for asks in due.values():
             for ask in asks:
                 ask.sendings += 1
-                # The last time is when the ask is dropped.
+                # After the last one, the ask is dropped at that time.
                 is_last = ask.sendings >= _MAX_SENDINGS
                 delay = ADVANCE_SECONDS if is_last else _REPEAT_SECONDS
                 ask.repeat_at = trio_now + delay
--- a/kumquatsaddle/sharing/quota_log.py
+++ b/kumquatsaddle/sharing/quota_log.py
@@ -7,7 +7,7 @@
 
 __all__ = ["QuotaLog"]
 
-# Log lines a second, and at once.
+# Log lines a second and at once; an account far above its quota must not fill the log.
 _LINES_RATE, _LINES_BURST = 5.0, 20.0
 
 
--- a/kumquatsaddle/sharing/quotas.capnp
+++ b/kumquatsaddle/sharing/quotas.capnp
@@ -14,7 +14,7 @@
   account @1 :Text;
   needed @2 :UInt16;         # requests that wait
   advance @3 :UInt16;        # tokens for requests to come
-  returned @4 :UInt16;       # earlier tokens whose requests were refused unrun
+  returned @4 :UInt16;       # earlier tokens whose requests have not run
 }
 
 struct QuotaAnswer {
