Derive the end of a connection where the request is made

Cause: both callers of _make_request passed the same computed argument, and a docstring of the exchange left out the zones that have instances. Change: compute it inside; complete the docstring. No change of behaviour.

--- a/kumquatsaddle/entry/request_reader.py
+++ b/kumquatsaddle/entry/request_reader.py
@@ -191,7 +191,7 @@
             event = self._parser.next_event()
             reject_repeated_headers(event.headers)
             if length != 0:
-                request = self._make_request(event, b"", _ends_connection(event))
+                request = self._make_request(event, b"")
                 if self._connection.needs_no_body(request):
                     self._skip_body(request, length)
                     return request
@@ -201,16 +201,16 @@
         # Once the reader pauses, a timeout must not cancel it any more.
         await trio.lowlevel.checkpoint_if_cancelled()
         self._restore_trailing_data()
-        return self._make_request(event, body, _ends_connection(event))
+        return self._make_request(event, body)
 
-    def _make_request(self, event, body, ends_connection):
+    def _make_request(self, event, body):
         return CallerRequest(
             event.method.decode("ascii"),
             event.target.decode("ascii"),
             list(event.headers),
             body,
             self._input.find_arrival_time(),
-            ends_connection,
+            _ends_connection(event),
         )
 
     def _skip_body(self, request, length):
--- a/kumquatsaddle/sharing/exchange.py
+++ b/kumquatsaddle/sharing/exchange.py
@@ -291,7 +291,7 @@
         return tuple(self._silent_since)
 
     def _update_unattended_zones(self, now):
-        """Find the zones that have no live instance."""
+        """Find which zones have no live instance, and which have any instance."""
         zones = {server.record.zone for server in self._dispatcher.list_servers()}
         zones.discard(self.peers.own.zone)
         unattended = self._summaries.find_unattended(zones, now)
