Keep tokens that return while an ask is repeated

Cause, found by reading: a repeated ask for tokens took the tokens returned meanwhile out of the books and sent its first form, so that they were lost.

--- a/kumquatsaddle/accounts/fleet_contact.py
+++ b/kumquatsaddle/accounts/fleet_contact.py
@@ -204,6 +204,8 @@
             if view is None:
                 known += listed[zone]
                 continue
+            if now - heard_at > _KNOWN_SECONDS:
+                continue
             known += view.known
             if now - heard_at <= _ZONE_CONTACT_SECONDS:
                 live += min(view.live, view.known)
--- a/kumquatsaddle/accounts/restart_tokens.py
+++ b/kumquatsaddle/accounts/restart_tokens.py
@@ -63,6 +63,9 @@
         if bucket is None:
             tokens = min(1.0, self._slack / max(1, active))
             bucket = self._buckets[account] = TokenBucket(
-                quota.rate / max(1, active), 1.0 + quota.burst / active, now, tokens
+                quota.rate / max(1, active),
+                1.0 + quota.burst / max(1, active),
+                now,
+                tokens,
             )
         return bucket.try_take(now)
--- a/kumquatsaddle/sharing/quota_asks.py
+++ b/kumquatsaddle/sharing/quota_asks.py
@@ -11,7 +11,7 @@
 from kumquatsaddle.accounts.quota_owner import ADVANCE_SECONDS
 from kumquatsaddle.sharing.quota_messages import QuotaAsk
 
-__all__ = ["AnsweredAsks", "Ask", "PendingAsks", "SilentOwners"]
+__all__ = ["AnsweredAsks", "Ask", "PendingAsks", "SilentOwners", "encode_ask"]
 
 # Time after which an ask without an answer is repeated. A datagram each way takes at
 # most 7 ms, an answer by a busy owner some 50 ms.
@@ -69,6 +69,11 @@
             return True
         return False
 
+    @property
+    def is_encoded(self):
+        """Whether it was sent before."""
+        return self._encoded is not None
+
     def encode(self, advance, returned):
         """Return the `QuotaAsk`, which stays the same when it is repeated."""
         if self._encoded is None:
@@ -218,3 +223,22 @@
 
 def _make_key(message, ask):
     return message.sender, message.incarnation, ask.number
+
+
+def encode_ask(ask, tokens, now):
+    """Return the `QuotaAsk` of an ask.
+
+    A repeated one stays the same, so that tokens that were returned since it was first
+    sent wait for the next ask.
+
+    Parameters
+    ----------
+    ask : Ask
+    tokens : QuotaTokens
+    now : float
+        On a clock that includes suspended time, in seconds.
+    """
+    if ask.is_encoded:
+        return ask.encode(0, 0)
+    advance = tokens.compute_advance(ask.account, now)
+    return ask.encode(advance, tokens.pop_returned(ask.account))
--- a/kumquatsaddle/sharing/quotas.py
+++ b/kumquatsaddle/sharing/quotas.py
@@ -26,7 +26,12 @@
 from kumquatsaddle.exceptions import RefusedError
 from kumquatsaddle.logs import log_event
 from kumquatsaddle.sharing.owner_addresses import OwnerAddresses
-from kumquatsaddle.sharing.quota_asks import AnsweredAsks, PendingAsks, SilentOwners
+from kumquatsaddle.sharing.quota_asks import (
+    AnsweredAsks,
+    PendingAsks,
+    SilentOwners,
+    encode_ask,
+)
 from kumquatsaddle.sharing.quota_log import QuotaLog
 from kumquatsaddle.sharing.quota_messages import (
     QuotaMessage,
@@ -341,13 +346,7 @@
             await self._asks.wait_until_due()
             now = self._clock()
             for owner, asks in self._asks.pop_due(now).items():
-                encoded = tuple(
-                    ask.encode(
-                        self._tokens.compute_advance(ask.account, now),
-                        self._tokens.pop_returned(ask.account),
-                    )
-                    for ask in asks
-                )
+                encoded = tuple(encode_ask(ask, self._tokens, now) for ask in asks)
                 address = self._addresses.find(owner)
                 if address is None:
                     self._metrics.count("quota_owners_unknown")
--- a/kumquatsaddle/sharing/tests/quotas.feature
+++ b/kumquatsaddle/sharing/tests/quotas.feature
@@ -67,3 +67,7 @@
     # Guards against traffic and work for deployments that have no accounts.
     Given 3 instances in zone a and 2 in zone b without client accounts
     Then no quota message was sent and no summary describes a zone
+
+  Scenario: Tokens that return while an ask is repeated go with the next one
+    # Guards against tokens of refused requests that are lost with a repeated datagram.
+    Then a repeated ask returns what it returned at first, and the next ask the rest
--- a/kumquatsaddle/sharing/tests/steps/addresses.py
+++ b/kumquatsaddle/sharing/tests/steps/addresses.py
@@ -19,13 +19,13 @@
 @given("a zone whose active instances have the capacities {first}, {others} and {last}")
 def prepare_zone(context, first, others, last):
     capacities = [int(text) for text in (first, *others.split(", "), last)]
-    context.table = PeerTable(make_record(0))
+    context.peer_table = PeerTable(make_record(0))
     context.own_capacity = capacities[0]
     for number, capacity in enumerate(capacities[1:], 1):
         peer = Peer(make_record(number), 0.0)
         peer.alive = True
         peer.report = SimpleNamespace(serving=True, capacity=capacity)
-        context.table.peers[peer.record.name] = peer
+        context.peer_table.peers[peer.record.name] = peer
 
 
 def count_told(context):
@@ -33,7 +33,7 @@
     random = Random(1)
     counts = {}
     for _ in range(CALLERS):
-        for record in context.table.choose_addresses(
+        for record in context.peer_table.choose_addresses(
             True, context.own_capacity, random
         ):
             counts[record.name] = counts.get(record.name, 0) + 1
@@ -45,7 +45,7 @@
 )
 def check_weighted(context, number):
     counts = count_told(context)
-    active = context.table.list_active(True, context.own_capacity)
+    active = context.peer_table.list_active(True, context.own_capacity)
     names = [record.name for record in active]
     assert all(counts[name] == CALLERS for name in names[:number]), counts
     for name in names[number:]:
@@ -55,6 +55,6 @@
 @then("each caller is told all {number:d}")
 def check_all(context, number):
     counts = count_told(context)
-    active = context.table.list_active(True, context.own_capacity)
+    active = context.peer_table.list_active(True, context.own_capacity)
     assert len(counts) == len(active) == number
     assert set(counts.values()) == {CALLERS}, counts
--- a/kumquatsaddle/sharing/tests/steps/quotas.py
+++ b/kumquatsaddle/sharing/tests/steps/quotas.py
@@ -5,7 +5,9 @@
 from quota_instances import ACCOUNT, QuotaInstances, make_quota
 
 from kumquatsaddle.accounts.quota_owner import Grant, QuotaRefusal
+from kumquatsaddle.accounts.quota_tokens import QuotaTokens
 from kumquatsaddle.exceptions import MessageError
+from kumquatsaddle.sharing.quota_asks import Ask, encode_ask
 from kumquatsaddle.sharing.quota_messages import (
     QUOTA_PREFIX,
     QuotaAsk,
@@ -331,7 +333,7 @@
     for number in range(100):
         owners = {item._history.find_owner(f"account-{number}") for item in quotas}
         assert len(owners) == 1, owners
-        address = quotas[0]._find_address(owners.pop())
+        address = quotas[0]._addresses.find(owners.pop())
         assert address is not None and address != older.record.control, number
 
 
@@ -346,3 +348,15 @@
         assert not instance.asks and not instance.answers
         assert instance.quotas.describe_zone() == (None, ())
         assert instance.quotas._contact._zones, "no summary was heard"
+
+
+@then("a repeated ask returns what it returned at first, and the next ask the rest")
+def check_returned(context):
+    tokens = QuotaTokens()
+    tokens.give_back("farms", 0.0)
+    first, second = Ask(1, "farms", 7), Ask(2, "farms", 7)
+    assert encode_ask(first, tokens, 0.0).returned == 1
+    tokens.give_back("farms", 0.1)
+    assert encode_ask(first, tokens, 0.1).returned == 1
+    assert encode_ask(second, tokens, 0.2).returned == 1
+    assert tokens.pop_returned("farms") == 0
