Wait 0.25 s for the owner of a quota again

With addresses by capacity the longer wait is not needed. The callers of the test fleet try another zone if all instances that theirs tells are killed; before, the test ended with an IndexError. Measured: sharing/tests quota_zones 6 and quotas 12 scenarios passed.

--- a/kumquatsaddle/accounts/tests/steps/quota_fleet.py
+++ b/kumquatsaddle/accounts/tests/steps/quota_fleet.py
@@ -23,7 +23,7 @@
 _LOSS = 0.0015
 _REPORT_SECONDS = 1.0
 _TICK_SECONDS = 0.25
-_ANSWER_TIMEOUT_SECONDS = 0.45
+_ANSWER_TIMEOUT_SECONDS = 0.25
 _ACTIVE = 4
 # A request that was admitted is refused without having run up to this much later.
 _MAX_REFUSED_AFTER_SECONDS = 1.0
--- a/kumquatsaddle/sharing/quotas.py
+++ b/kumquatsaddle/sharing/quotas.py
@@ -44,9 +44,8 @@
 
 # Time between updates of the instances in contact.
 _TICK_SECONDS = 0.25
-# Shorter than the validity of a token. A datagram may wait for 0.4 s behind the largest
-# answers on a link of 10 Mbit/s.
-_ANSWER_TIMEOUT_SECONDS = 0.45
+# Short beside an objective; an owner on a fast link answers within 50 ms.
+_ANSWER_TIMEOUT_SECONDS = 0.25
 # Updates between two removals of idle state.
 _IDLE_CHECK_TICKS = 40
 # Retry-After while it is not known when a grant is possible.
--- a/kumquatsaddle/sharing/tests/steps/quota_zones.py
+++ b/kumquatsaddle/sharing/tests/steps/quota_zones.py
@@ -120,7 +120,11 @@
         active = {record.name for record in alive[-1].list_active()}
         # Callers that cached the address of an instance still go there.
         usable = [i for i in alive if i.record.name in active or i.group]
-        return self.random.choice([i for i in usable if i.held is None])
+        usable = [i for i in usable if i.held is None]
+        if not usable:
+            # All instances that the zone tells were killed; the caller tries another.
+            return self._choose_instance()
+        return self.random.choice(usable)
 
     async def _request(self, instance):
         refusal = await instance.admit()
