--- a/hostile/tests/deployments.py
+++ b/hostile/tests/deployments.py
@@ -5,6 +5,7 @@
 """
 
 import os
+import random
 import socket
 import ssl
 import subprocess
@@ -47,6 +48,9 @@
 _ORDINARY_TIMEOUT_SECONDS = 10.0
 _POLL_SECONDS = 0.05
 _LISTEN_KEYS = ("callers", "control", "operators", "directory", "readiness")
+# Below the ports that Linux gives to outgoing connections: one of another process could
+# take a free port before the instance binds it.
+_PORTS = (20000, 32000)
 _SERVICES = ("work", "hold", "large")
 _HOST = "shop.example"
 
@@ -330,8 +334,18 @@
 
 def _find_free_ports():
     """Return a free port for each key; all are found before one is released."""
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in _LISTEN_KEYS]
+    sockets = [_open_server() for _ in _LISTEN_KEYS]
     ports = [server.getsockname()[1] for server in sockets]
     for server in sockets:
         server.close()
     return list(zip(_LISTEN_KEYS, ports, strict=True))
+
+
+def _open_server():
+    """Return a server on a free port that no outgoing connection is given."""
+    while True:
+        port = random.randrange(*_PORTS)
+        try:
+            return socket.create_server(("127.0.0.1", port))
+        except OSError:
+            continue
