Count no wait for a core as a suspension of the machine

By reading: since the ages of store answers count suspended time, they contain the difference of two clocks, which are read one after the other, so that ages were off by the time in between. An age that looked too young made a removal during an outage count as final. Change: differences below 0.1 s count as no suspension; a real one takes seconds.

--- a/kumquatsaddle/clocks.py
+++ b/kumquatsaddle/clocks.py
@@ -16,6 +16,10 @@
 _BOOT_CLOCK = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
 _SUSPENDED_BEFORE_SECONDS = time.clock_gettime(_BOOT_CLOCK) - time.monotonic()
 
+# Shorter differences are the time between the two reads of the clocks, in which the
+# process may wait for a core.
+_MIN_SUSPENDED_SECONDS = 0.1
+
 
 def make_steady_clock():
     """Return a clock in seconds since the epoch that is never adjusted.
@@ -42,8 +46,8 @@
 
 def read_suspended_seconds():
     """Return for how long the machine was suspended while this process ran."""
-    suspended = read_boot_time() - time.monotonic()
-    return suspended - _SUSPENDED_BEFORE_SECONDS
+    suspended = read_boot_time() - time.monotonic() - _SUSPENDED_BEFORE_SECONDS
+    return suspended if suspended >= _MIN_SUSPENDED_SECONDS else 0.0
 
 
 def read_elapsed_time():
