Take no reset connection for the end of an answer

Callers of a backend server that answered a long upload at once, without a length, and reset the connection while the upload was still being written got the part that had arrived as the whole answer, with the server's signature.

Cause: the write of the upload and the read of the answer are two tasks on one socket. The system reports a reset once. If the write meets it first, the write fails and the read shows an orderly end, which ends an answer without a length. The exchange ignored the failed write, because a server may close its side after a whole answer.

Where the read meets the reset first, it raised an error before, too.

Fix: the error of the failed write tells the two apart, whichever task runs first: EPIPE after an orderly end, ECONNRESET without one. It is judged when both tasks have ended, so their order does not matter. Any other error counts as a reset. Answers with a length or in chunks, and those whose connection ends in order, are returned as before.

--- a/deploy/tests/harness.py
+++ b/deploy/tests/harness.py
@@ -71,20 +71,20 @@
         await self.application.run()
         self.stopped.set()
 
-    async def send_request(self, listen_key, target, host="shop.example"):
+    async def send_request(self, listen_key, target, host="shop.example", body=b"body"):
         address = self.node.settings.get("listen", listen_key)
         connection = await open_connection(Address(*address), 1.0)
         headers = [
             (b"host", host.encode()),
             (b"x-request-id", b"id-1"),
             (b"x-deadline-ms", b"5000"),
-            (b"content-length", b"4"),
+            (b"content-length", str(len(body)).encode()),
         ]
         try:
             with trio.fail_after(_TIMEOUT_SECONDS):
                 method = "POST" if listen_key == "callers" else "GET"
-                body = b"body" if listen_key == "callers" else b""
-                if not body:
+                if listen_key != "callers":
+                    body = b""
                     headers.pop()
                 return await connection.exchange(
                     method, target, headers, body, 1 << 20, lambda: None
--- a/kumquatsaddle/dispatch/answers.py
+++ b/kumquatsaddle/dispatch/answers.py
@@ -40,14 +40,24 @@
 
 
 class RawAnswer:
-    """A complete answer of a backend server."""
+    """A complete answer of a backend server.
 
-    __slots__ = ("status", "headers", "body")
+    Parameters
+    ----------
+    status : int
+    headers : list of (bytes, bytes)
+    body : bytes or bytearray
+    is_close_delimited : bool, default=False
+        Whether the end of the connection was the end of the answer.
+    """
+
+    __slots__ = ("status", "headers", "body", "is_close_delimited")
 
-    def __init__(self, status, headers, body):
+    def __init__(self, status, headers, body, is_close_delimited=False):
         self.status = status
         self.headers = headers
         self.body = body
+        self.is_close_delimited = is_close_delimited
 
     def get_header(self, name):
         """Return the first value of a header (lower case, bytes), or None."""
--- a/kumquatsaddle/dispatch/connections.py
+++ b/kumquatsaddle/dispatch/connections.py
@@ -2,11 +2,13 @@
 
 An exchange returns a whole answer or raises an error, which tells whether a byte of the
 request can have reached the server and whether a byte of an answer arrived. An answer
-that is delimited only by the end of the connection counts as truncated, because its end
-cannot be told from a lost connection. A connection is never reused after an error or a
-cancelled exchange, so a late answer is never read as the answer to another request.
+that is delimited only by the end of the connection counts as truncated, unless the
+protocol allows it and the server ended the connection in order. A connection is never
+reused after an error or a cancelled exchange, so a late answer is never read as the
+answer to another request.
 """
 
+import errno
 import socket
 import struct
 
@@ -222,6 +224,8 @@
         if failure is not None:
             # Raised outside of the nursery, which would wrap it in an exception group.
             raise failure
+        if broken is not None and answer.is_close_delimited and _is_reset(broken):
+            raise self._make_error(RefusalReason.ANSWER_TRUNCATED, broken)
         self._has_unsent_bytes = self._has_unsent_bytes or broken is not None
         return answer
 
@@ -267,7 +271,8 @@
         )
         self.keep_alive = read_keep_alive(head.headers)
         headers = select_headers(method, head.headers)
-        return RawAnswer(head.status_code, headers, body)
+        is_close_delimited = not has_known_end(method, head)
+        return RawAnswer(head.status_code, headers, body, is_close_delimited)
 
     async def _receive_head(self):
         await self._check_start()
@@ -360,3 +365,18 @@
     except (OSError, trio.TooSlowError) as error:
         raise ExchangeError(RefusalReason.BACKEND_UNREACHABLE, False, error) from None
     return BackendConnection(stream, protocol)
+
+
+def _is_reset(error):
+    """Return whether a connection was reset before its peer had ended its output.
+
+    Only the error of the failed write tells: it takes the error from the socket, so
+    that a read afterwards shows an end in either case.
+
+    Parameters
+    ----------
+    error : trio.BrokenResourceError or trio.ClosedResourceError
+        Of the failed write. Its cause is EPIPE if the peer had ended its output in
+        order before the reset.
+    """
+    return getattr(error.__cause__, "errno", None) != errno.EPIPE
--- /dev/null
+++ b/kumquatsaddle/dispatch/tests/broken_answers.feature
@@ -0,0 +1,34 @@
+Feature: Broken answers of backend servers
+
+  Scenario Outline: An answer without a length to <request>, with <ending>, seen first by the <side>
+    # Guards against a part of an answer that passes for all of it: once a failed write
+    # has taken the error of a reset, reading shows an orderly end.
+    When a server answers <request> without a length; <ending> is seen by the <side>
+    Then the exchange returns <result>
+
+    Examples:
+      | request               | ending             | side   | result     |
+      | a short request       | a reset            | reader | no answer  |
+      | a short request       | an end             | reader | the answer |
+      | a request read whole  | a reset            | reader | no answer  |
+      | a request read whole  | an end             | reader | the answer |
+      | an upload in progress | a reset            | reader | no answer  |
+      | an upload in progress | a reset            | writer | no answer  |
+      | an upload in progress | an end             | reader | the answer |
+      | an upload in progress | an end and a reset | reader | the answer |
+      | an upload in progress | an end and a reset | writer | the answer |
+
+  Scenario Outline: A part of an answer and a reset on an idle connection, before <request>
+    # Guards against a request written to a connection that has just been reset, whose
+    # unread bytes then pass for the answer.
+    When an idle connection gets an answer without a length and a reset before <request>
+    Then the exchange returns no answer
+
+    Examples:
+      | request               |
+      | a short request       |
+      | an upload in progress |
+
+  Scenario: Resets of uploads at any moment
+    # Guards against a result that depends on which task of an exchange runs first.
+    Then none of 50 uploads whose connection is reset in an answer returns an answer
