Take no head with a folded line for an answer

A server sent a head in which a line began with a blank or a tab. The client got an answer whose field before that line had another value than the server gave: the signature 'signed' came as 'signed X-Mark: sent'. Where the line was the length of the body, the body ended with the connection instead.

Cause: h11 joins such a line to the field before it (obs-fold). RFC 9112, section 5.2, lets a proxy either do that or answer 502. No sender may generate such a line, so it is a damaged field, and joining it changes what the server signed and how its answer is framed.

A line with white space before the first field was refused before, too. Lines of a body may still begin with white space (14 splits of a body).

--- a/deploy/tests/broken_answers.feature
+++ b/deploy/tests/broken_answers.feature
@@ -13,6 +13,9 @@
       | the status 000                        |
       | a blank in a field name               |
       | a control byte in a field name        |
+      | a blank before a field name           |
+      | a tab before a field name             |
+      | a blank before the name of its length |
       | a blank before its first field        |
 
   Scenario: A client gets an answer without a length that ends with its connection
--- a/deploy/tests/steps/broken_answers.py
+++ b/deploy/tests/steps/broken_answers.py
@@ -27,6 +27,9 @@
     "the status 000": WHOLE.replace(b"200", b"000"),
     "a blank in a field name": WHOLE.replace(b"X-Mark", b"X Mark"),
     "a control byte in a field name": WHOLE.replace(b"X-Mark", b"X\x01Mark"),
+    "a blank before a field name": WHOLE.replace(b"X-Mark", b" X-Mark"),
+    "a tab before a field name": WHOLE.replace(b"X-Mark", b"\tX-Mark"),
+    "a blank before the name of its length": WHOLE.replace(b"Content", b" Content"),
     "a blank before its first field": WHOLE.replace(b"X-Request", b" X-Request"),
 }
 
--- a/kumquatsaddle/dispatch/answers.py
+++ b/kumquatsaddle/dispatch/answers.py
@@ -8,6 +8,7 @@
     "HOP_BY_HOP_HEADERS",
     "AnswerMemory",
     "RawAnswer",
+    "has_folded_line",
     "has_known_end",
     "read_keep_alive",
     "select_headers",
@@ -21,6 +22,8 @@
 # Statuses of answers without a body (RFC 9110, section 6.4.1).
 _BODILESS_STATUSES = frozenset({204, 304})
 _KEEP_ALIVE_TIMEOUT_PATTERN = re.compile(rb"timeout=([0-9]{1,6})")
+# The end of a head, or the start of a line that begins with white space.
+_HEAD_END_OR_FOLD = re.compile(rb"\n(?:\r?\n|([ \t]))")
 # Hop-by-hop headers (RFC 9110, section 7.6.1) and those that h11 handles as framing.
 HOP_BY_HOP_HEADERS = frozenset(
     {
@@ -147,6 +150,24 @@
     return None
 
 
+def has_folded_line(data, start=0):
+    """Return whether a line of a head begins with white space.
+
+    h11 joins such a line to the field before it. No sender may generate one (RFC 9112,
+    section 5.2), so it is a damaged field: joined, it changes the value of another
+    field, and its own, such as a length, is lost.
+
+    Parameters
+    ----------
+    data : bytes
+        What has arrived of the head, and possibly of the body after it.
+    start : int, default=0
+        Bytes that are known to hold neither such a line nor the end of the head.
+    """
+    match = _HEAD_END_OR_FOLD.search(data, start)
+    return match is not None and match[1] is not None
+
+
 def has_known_end(method, head, allows_close_delimited=False):
     """Return whether the end of an answer can be told from a lost connection.
 
--- a/kumquatsaddle/dispatch/connections.py
+++ b/kumquatsaddle/dispatch/connections.py
@@ -17,6 +17,7 @@
 
 from kumquatsaddle.dispatch.answers import (
     RawAnswer,
+    has_folded_line,
     has_known_end,
     read_keep_alive,
     select_headers,
@@ -277,7 +278,7 @@
     async def _receive_head(self):
         await self._check_start()
         for _ in range(_MAX_INFORMATIONAL + 1):
-            head = await self._next_event()
+            head = await self._next_head()
             if isinstance(head, h11.Response):
                 return head
             if not isinstance(head, h11.InformationalResponse):
@@ -301,6 +302,22 @@
             start = (start + data)[: len(_ANSWER_START)]
         raise self._make_error(RefusalReason.ANSWER_TRUNCATED, "bytes are no answer")
 
+    async def _next_head(self):
+        searched_bytes = 0
+        while True:
+            data = self._parser.trailing_data[0]
+            if has_folded_line(data, searched_bytes):
+                raise self._make_error(
+                    RefusalReason.ANSWER_TRUNCATED,
+                    "a line of the head begins with white space",
+                )
+            event = self._parser.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            # The last bytes may be the line break before a folded line.
+            searched_bytes = max(0, len(data) - len(b"\n\r"))
+            await self._receive_data()
+
     async def _next_event(self):
         while (event := self._parser.next_event()) is h11.NEED_DATA:
             await self._receive_data()
--- a/kumquatsaddle/dispatch/tests/broken_answers.feature
+++ b/kumquatsaddle/dispatch/tests/broken_answers.feature
@@ -57,3 +57,27 @@
       | no field name                          |
       | a line without a colon                 |
       | a broken line in an earlier head       |
+
+  Scenario Outline: A line of a head that begins with white space: <line>, <pieces>
+    # Guards against a line that is joined to the field before it: a signature or a
+    # length then has another value than the server gave.
+    When a server sends a head with <line> that begins with white space <pieces>
+    Then the exchange returns no answer
+
+    Examples:
+      | line                    | pieces            |
+      | a field                 | at once           |
+      | a field                 | byte by byte      |
+      | its first field         | at once           |
+      | its length              | at once           |
+      | its length              | byte by byte      |
+      | a tab and a field       | at once           |
+      | a line of blanks        | at once           |
+      | a field after bare LF   | at once           |
+      | a field of a 103 answer | at once           |
+      | a field after a 103     | byte by byte      |
+      | a field after another's | at once           |
+
+  Scenario: Lines of a body may begin with white space
+    # Guards against a check of the head that also reads the body.
+    Then a body whose lines begin with white space is returned whole, in any pieces
--- a/kumquatsaddle/dispatch/tests/steps/broken_answers.py
+++ b/kumquatsaddle/dispatch/tests/steps/broken_answers.py
@@ -2,6 +2,7 @@
 import struct
 
 import trio
+import trio.testing
 from behave import then, when
 
 from kumquatsaddle.dispatch.connections import BackendConnection, ExchangeError
@@ -46,6 +47,20 @@
     "a broken line in an earlier head": b"HTTP/1.1 103 Early Hints\r\nX Bad: a\r\n\r\n"
     + WHOLE,
 }
+HINTS = b"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"
+MARKED = WHOLE.replace(b"Content", b"X-Mark: a\r\nContent")
+FOLDED_FIELD = MARKED.replace(b"Content", b" X-Fold: b\r\nContent")
+FOLDED_HEADS = {
+    "a field": FOLDED_FIELD,
+    "its first field": MARKED.replace(b"X-Id", b" X-Id"),
+    "its length": MARKED.replace(b"Content", b" Content"),
+    "a tab and a field": MARKED.replace(b"Content", b"\tX-Fold: b\r\nContent"),
+    "a line of blanks": MARKED.replace(b"Content", b"  \r\nContent"),
+    "a field after bare LF": FOLDED_FIELD.replace(b"\r\n", b"\n"),
+    "a field of a 103 answer": HINTS.replace(b"Link", b"A: b\r\n Link") + MARKED,
+    "a field after a 103": HINTS + FOLDED_FIELD,
+    "a field after another's": WHOLE.replace(b"own", b"other") + FOLDED_FIELD,
+}
 
 
 class OrderedStream:
@@ -114,12 +129,11 @@
 async def try_send(connection, size=0):
     """Return the answer, or None if the exchange failed."""
     try:
-        answer = await send(connection, size)
+        return await send(connection, size)
     except ExchangeError as error:
         assert error.written, error
-        answer = None
-    assert not connection.is_reusable()
-    return answer
+        assert not connection.is_reusable()
+        return None
 
 
 async def reset(stream):
@@ -150,6 +164,7 @@
     async with server, trio.open_nursery() as nursery:
         nursery.start_soon(answer_without_length, server, request, ending)
         answer = await try_send(connection, BODY_BYTES[request])
+        assert not connection.is_reusable()
         await connection.close()
     return answer
 
@@ -171,11 +186,23 @@
     return answer
 
 
-async def exchange_broken(data):
+async def send_in_pieces(stream, data, size):
+    """Send an answer and end the output in order."""
+    try:
+        for start in range(0, len(data), size):
+            await stream.send_all(data[start : start + size])
+            await trio.testing.wait_all_tasks_blocked()
+        await stream.send_eof()
+    except trio.BrokenResourceError:
+        # The client gave up and reset the connection.
+        pass
+
+
+async def exchange_broken(data, size=MAX_BODY_BYTES):
     stream, server = await open_pair()
     connection = BackendConnection(stream, PROTOCOL)
     async with server, trio.open_nursery() as nursery:
-        nursery.start_soon(server.send_all, data)
+        nursery.start_soon(send_in_pieces, server, data, size)
         answer = await try_send(connection)
         await connection.close()
     return answer
@@ -204,6 +231,22 @@
     context.answer = run(exchange_broken, BROKEN_ANSWERS[fault])
 
 
+@when("a server sends a head with {line} that begins with white space {pieces}")
+def answer_folded(context, line, pieces):
+    size = 1 if pieces == "byte by byte" else MAX_BODY_BYTES
+    context.answer = run(exchange_broken, FOLDED_HEADS[line], size)
+
+
+@then("a body whose lines begin with white space is returned whole, in any pieces")
+def check_body(context):
+    body = b"\n a\r\n\tb\r\n\r\n c"
+    head = OK + b"Connection: close\r\nContent-Length: %d\r\n\r\n" % len(body)
+    for size in (1, 2, 3, 7, len(head) - 1, len(head) + 2, MAX_BODY_BYTES):
+        for hints in (b"", HINTS):
+            answer = run(exchange_broken, hints + head + body, size)
+            assert answer is not None and bytes(answer.body) == body, size
+
+
 @then("the exchange returns no answer")
 def check_no_answer(context):
     answer = context.answer
