Take a health answer that is nested too deep for none

Own deployment only: an instance whose probe got a body of 16,000 opening brackets from the health endpoint of a server would end, and all requests on it with it.

Cause: json.loads raises RecursionError for such a text, which is no ValueError. Nothing between the probe and the nursery of the application catches it (read, not run with a whole instance).

Fix: it counts as a body that says nothing of draining, as other texts that are no JSON do.

Evidence: the new scenario raised RecursionError before and passes now. The other seven answers (none, no answer, without end in head or body, cut, no JSON) changed nothing before, too, and are kept as tests.

--- a/kumquatsaddle/dispatch/probes.py
+++ b/kumquatsaddle/dispatch/probes.py
@@ -66,7 +66,7 @@
         return True
     try:
         fields = json.loads(answer.body)
-    except ValueError:
+    except (ValueError, RecursionError):
         return False
     return isinstance(fields, dict) and fields.get("state") == _DRAINING
 
