--- a/kumquatsaddle/caller/addresses.py
+++ b/kumquatsaddle/caller/addresses.py
@@ -106,7 +106,7 @@
                 parse_address(entry["address"]) for entry in answer["addresses"]
             ]
             ttl = min(float(answer["ttl"]), _MAX_TTL_SECONDS)
-        except (KeyError, TypeError, AttributeError) as error:
+        except (KeyError, TypeError, AttributeError, RecursionError) as error:
             raise ValueError(f"the address answer is malformed: {error!r}") from None
         if not addresses:
             raise ValueError("the address answer contains no address")
--- a/kumquatsaddle/caller/calls.py
+++ b/kumquatsaddle/caller/calls.py
@@ -23,7 +23,15 @@
 # discarded; the fleet accepts an id for 600 s.
 _OPERATION_BATCH_SIZE = 32
 _OPERATION_RETENTION_SECONDS = 300.0
-_FETCH_ERRORS = (ExchangeError, trio.TooSlowError, ValueError, KeyError, TypeError)
+_FETCH_ERRORS = (
+    ExchangeError,
+    trio.TooSlowError,
+    ValueError,
+    KeyError,
+    TypeError,
+    # Of JSON that is nested too deep.
+    RecursionError,
+)
 # Reasons of results that come from the caller instead of the fleet.
 NO_ANSWER = "no_answer"
 NO_ADDRESS = "no_address"
--- a/kumquatsaddle/commands/client.py
+++ b/kumquatsaddle/commands/client.py
@@ -184,7 +184,7 @@
         value = json.loads(response.content)
         if not isinstance(value, dict):
             raise ValueError("is not an object")
-    except ValueError:
+    except (ValueError, RecursionError):
         raise _NoReplyError(f"{address}: the reply is not JSON", True) from None
     if response.status < 300:
         return value
--- a/kumquatsaddle/commands/tests/steps/ctl.py
+++ b/kumquatsaddle/commands/tests/steps/ctl.py
@@ -136,7 +136,8 @@
         if isinstance(result, Exception):
             raise result
         status, value = result
-        response = httpcore.Response(status, content=json.dumps(value).encode())
+        content = value if isinstance(value, bytes) else json.dumps(value).encode()
+        response = httpcore.Response(status, content=content)
         response.read()
         return response
 
@@ -166,7 +167,13 @@
     "a repeated change goes to the next address with the same id and a repeated header"
 )
 def check_repeated_header(context):
-    for lost in (httpcore.ReadTimeout(), httpcore.RemoteProtocolError(), _UNKNOWN):
+    for lost in (
+        httpcore.ReadTimeout(),
+        httpcore.RemoteProtocolError(),
+        _UNKNOWN,
+        (200, b"nonsense"),
+        (200, b"[" * 100000),
+    ):
         answer, repeated_headers, hosts = send_change(lost, _ACCEPTED)
         assert answer == {"outcome": "accepted"}
         assert (repeated_headers, hosts) == (["0", "1"], ["one:1", "two:1"])
--- a/kumquatsaddle/configuration/snapshots.py
+++ b/kumquatsaddle/configuration/snapshots.py
@@ -167,7 +167,7 @@
         if fields["format"] != _FORMAT_VERSION:
             raise ConfigurationError("has an unsupported format", "snapshot")
         version, digest = int(fields["version"]), fields["digest"]
-    except (ValueError, KeyError, TypeError) as error:
+    except (ValueError, KeyError, TypeError, RecursionError) as error:
         raise ConfigurationError(f"damaged header: {error}", "snapshot") from None
     if digest != _digest(version, content):
         raise ConfigurationError("the digest does not match the content", "snapshot")
--- a/kumquatsaddle/configuration/tests/steps/distribution.py
+++ b/kumquatsaddle/configuration/tests/steps/distribution.py
@@ -305,6 +305,8 @@
             data[position] ^= 1 << rng.randrange(8)
         objects[latest_key] = bytes(data)
         await start(f"damaged-{trial}")
+    objects[latest_key] = b"[" * 100000 + b"\n"
+    await start("nested")
     del objects[latest_key]
     await start("lost")
     objects.clear()
