Bound the length of a reply of the platform

A platform, or whatever answers at its address, that sends a body without end made an instance keep all of it until the time limit of the call: 64 MB of the 64 MB that the stand-in sends at most, in bodies and in chunks, in both clients (own interface and the users' store). A watch allows for seconds of this, on machines of 200 to 300 MB.

Cause: httpcore collects the whole body of a response and has no limit for it. Heads were bounded before.

Fix: one call for both clients reads the body in parts and gives up above 16 MiB, as an unavailable platform. It also holds the time limit and the translation of errors, which stood in both.

--- a/kumquatsaddle/dispatch/tests/steps/probes.py
+++ b/kumquatsaddle/dispatch/tests/steps/probes.py
@@ -5,6 +5,7 @@
 from kumquatsaddle.dispatch.pools import make_pool
 from kumquatsaddle.dispatch.probes import probe_server
 from kumquatsaddle.testing.pools import SERVICE
+from kumquatsaddle.testing.raw_servers import open_raw_server
 from kumquatsaddle.types import BackendState
 
 TIMEOUT_SECONDS = 10.0
@@ -31,28 +32,14 @@
 
 
 async def probe_answer(start, repeated):
-    """Probe a server that answers with given bytes; return the state it is in."""
-
-    async def serve(stream):
-        try:
-            async with stream:
-                await stream.receive_some(4096)
-                await stream.send_all(start)
-                while repeated:
-                    await stream.send_all(repeated)
-        except trio.BrokenResourceError:
-            # The instance reset the connection.
-            pass
-
-    (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
-    address = "{}:{}".format(*listener.socket.getsockname())
-    pool = make_pool(SERVICE)
-    members = (Backend("b0", "s", address, "z", "r"),)
-    await pool.update_groups(SERVICE, [Group("g", "s", "z", "r", members, 2)])
-    server = pool.servers["b0"]
-    state = server.health.state
+    """Probe a server that answers with given bytes; return its state before, after."""
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(trio.serve_listeners, serve, [listener])
+        _, address = await open_raw_server(nursery, start, repeated)
+        pool = make_pool(SERVICE)
+        members = (Backend("b0", "s", str(address), "z", "r"),)
+        await pool.update_groups(SERVICE, [Group("g", "s", "z", "r", members, 2)])
+        server = pool.servers["b0"]
+        state = server.health.state
         with trio.fail_after(TIMEOUT_SECONDS):
             await probe_server(pool, server)
         nursery.cancel_scope.cancel()
--- a/kumquatsaddle/storage/http.py
+++ b/kumquatsaddle/storage/http.py
@@ -18,7 +18,6 @@
 from urllib.parse import quote
 
 import httpcore
-import trio
 
 from kumquatsaddle.exceptions import ConflictError, PlatformUnavailableError
 from kumquatsaddle.storage.interface import (
@@ -27,6 +26,7 @@
     parse_instances,
     platforms,
 )
+from kumquatsaddle.storage.replies import call_platform
 
 __all__ = ["HttpPlatform", "make_http_platform"]
 
@@ -130,17 +130,9 @@
         await self._pool.aclose()
 
     async def _call(self, method, path, body=None, headers=()):
-        try:
-            with trio.fail_after(self._timeout):
-                response = await self._pool.request(
-                    method, self._url + path, headers=list(headers), content=body
-                )
-        except (trio.TooSlowError, httpcore.NetworkError, httpcore.TimeoutException):
-            raise PlatformUnavailableError(
-                f"{method} {path}: the platform did not reply"
-            ) from None
-        except (httpcore.ProtocolError, httpcore.UnsupportedProtocol) as error:
-            raise PlatformUnavailableError(f"{method} {path}: {error}") from None
+        response = await call_platform(
+            self._pool, method, self._url, path, self._timeout, headers, body
+        )
         is_conditional_read = method == "GET" and any(
             name == "If-None-Match" for name, _ in headers
         )
--- a/kumquatsaddle/storage/tests/platform.feature
+++ b/kumquatsaddle/storage/tests/platform.feature
@@ -37,3 +37,19 @@
     # outdated cached list, and against a damaged reply.
     Then the HTTP client gets the list only when it has changed, with a later time
     And a damaged compressed list raises the error of an unavailable platform
+
+  Scenario Outline: A platform that sends <bytes>
+    # Guards against a reply that fills the memory of an instance, and against one that
+    # passes for a whole reply because its connection ends.
+    When a platform sends <bytes>
+    Then a read through the HTTP client fails after at most 24 MB
+
+    Examples:
+      | bytes                    |
+      | a line without end       |
+      | a head without end       |
+      | a body without end       |
+      | chunks without end       |
+      | bytes that are no answer |
+      | half of a body           |
+      | half of a JSON text      |
--- a/kumquatsaddle/storage/tests/steps/platform.py
+++ b/kumquatsaddle/storage/tests/steps/platform.py
@@ -17,6 +17,7 @@
 from kumquatsaddle.storage.http import HttpPlatform
 from kumquatsaddle.storage.interface import ListedInstance, parse_instances
 from kumquatsaddle.storage.memory import MemoryPlatform
+from kumquatsaddle.testing.raw_servers import open_raw_server
 from kumquatsaddle.testing.runs import expect, in_trio
 from standins.http import Reply, serve_http
 from standins.platform import PlatformStandin
@@ -254,3 +255,41 @@
             await expect(PlatformUnavailableError, platform.list_instances())
 
     trio.run(run)
+
+
+_OK = b"HTTP/1.1 200 OK\r\nETag: 1\r\n"
+# What is sent once and what is repeated without end.
+_BROKEN_REPLIES = {
+    "a line without end": (b"", b"z" * 65536),
+    "a head without end": (_OK, b"X-More: a\r\n" * 1000),
+    "a body without end": (_OK + b"\r\n[", b" " * 65536),
+    "chunks without end": (
+        _OK + b"Transfer-Encoding: chunked\r\n\r\n",
+        b"10000\r\n" + b" " * 65536 + b"\r\n",
+    ),
+    "bytes that are no answer": (b"nonsense\r\n\r\n", b""),
+    "half of a body": (_OK + b"Content-Length: 4\r\n\r\n{}", b""),
+    "half of a JSON text": (_OK + b'\r\n{"x":', b""),
+}
+
+
+async def read_broken_reply(name):
+    """Read a row from a platform; return the bytes that it sent."""
+    async with trio.open_nursery() as nursery:
+        server, address = await open_raw_server(nursery, *_BROKEN_REPLIES[name])
+        platform = HttpPlatform(f"http://{address}", _TIMEOUT_SECONDS)
+        await expect(PlatformUnavailableError, platform.read_row("a"))
+        await platform.close()
+        nursery.cancel_scope.cancel()
+    return server.sent_bytes
+
+
+@when("a platform sends {name}")
+def send_broken_reply(context, name):
+    context.sent_bytes = trio.run(read_broken_reply, name)
+
+
+@then("a read through the HTTP client fails after at most 24 MB")
+def check_sent_bytes(context):
+    # The limit of a reply is 16 MiB; the buffers of the connection hold the rest.
+    assert context.sent_bytes <= 24e6, context.sent_bytes
