--- a/deploy/tests/steps/broken_answers.py
+++ b/deploy/tests/steps/broken_answers.py
@@ -1,14 +1,12 @@
 import copy
-import socket
-import struct
 
 import trio
 from behave import then, when
 from harness import ROUTED_TARGET
 from samples import CONFIGURATION
 
-# Value of SO_LINGER that makes a close reset the connection.
-LINGER_RESET = struct.pack("ii", 1, 0)
+from kumquatsaddle.testing.raw_servers import open_raw_server
+
 # Longer than what the buffers of a connection hold, so that the instance is still
 # writing it when the answer arrives.
 UPLOAD_BYTES = 1 << 21
@@ -34,46 +32,12 @@
 }
 
 
-class RawServer:
-    """Answers the head of each request with given bytes, then ends the connection.
-
-    Parameters
-    ----------
-    answer : bytes
-    is_reset : bool
-        Whether the connection ends with a reset.
-    """
-
-    def __init__(self, answer, is_reset):
-        self._answer = answer
-        self._is_reset = is_reset
-
-    async def serve(self, stream):
-        try:
-            async with stream:
-                await self._answer_request(stream)
-        except trio.BrokenResourceError:
-            # The instance resets a connection whose answer is broken.
-            pass
-
-    async def _answer_request(self, stream):
-        await stream.receive_some(4096)
-        await stream.send_all(self._answer)
-        if self._is_reset:
-            stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
-            return
-        await stream.send_eof()
-        while await stream.receive_some(65536):
-            pass
-
-
-async def replace_server(harness, server):
+async def replace_server(harness, answer, resets):
     """List a `RawServer` in place of the server of the harness."""
-    (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
-    # Accepted connections inherit it.
-    listener.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-    harness.nursery.start_soon(trio.serve_listeners, server.serve, [listener])
-    harness.address = "{}:{}".format(*listener.socket.getsockname())
+    _, address = await open_raw_server(
+        harness.nursery, answer, resets=resets, receive_buffer=4096
+    )
+    harness.address = str(address)
     harness.list_server()
     configuration = copy.deepcopy(CONFIGURATION)
     configuration["Version"] = "0000000d"
@@ -97,10 +61,10 @@
 
 @when("the server sends a client an answer with {fault}")
 def send_answer(context, fault):
-    is_reset = fault == "a reset in place of its end"
-    is_upload = ANSWERS[fault] is WITHOUT_LENGTH
-    server = RawServer(ANSWERS[fault], is_reset)
-    context.loop.run(replace_server, context.harness, server)
+    answer = ANSWERS[fault]
+    is_upload = answer is WITHOUT_LENGTH
+    resets = fault == "a reset in place of its end"
+    context.loop.run(replace_server, context.harness, answer, resets)
     body, count = (bytes(UPLOAD_BYTES), UPLOADS) if is_upload else (b"body", 1)
     context.answers = context.loop.run(send_requests, context.harness, body, count)
     assert len(context.answers) == count
