--- a/deploy/tests/broken_answers.feature
+++ b/deploy/tests/broken_answers.feature
@@ -11,8 +11,10 @@
       | fault                                 |
       | a reset in place of its end           |
       | the status 000                        |
+      | the status 600                        |
       | a blank in a field name               |
       | a control byte in a field name        |
+      | a control byte in a field value       |
       | a blank before a field name           |
       | a tab before a field name             |
       | a blank before the name of its length |
