Bound the length of a reply to the operators' client

It reads in parts now and takes more than 16 MiB for no reply; all entities of 35,000 accounts have about 6 MB.

--- a/kumquatsaddle/commands/client.py
+++ b/kumquatsaddle/commands/client.py
@@ -25,6 +25,8 @@
 _REPLY_TIMEOUT_SECONDS = 30.0
 # How often a change is sent to each address while its result is not known.
 _CHANGE_ROUNDS = 2
+# A configuration with 35,000 accounts has about 6 MB.
+_MAX_REPLY_BYTES = 16 << 20
 _REFUSAL_REASONS = {reason.value for reason in RefusalReason}
 
 
@@ -39,13 +41,13 @@
         Bearer token; empty for none.
     send : callable, optional
         Sends one request; takes method, URL, headers, content and extensions, and
-        returns a response with ``status`` and ``content``.
+        returns a response with ``status`` and ``content``. Default: over HTTP.
     """
 
-    def __init__(self, addresses, token, send=httpcore.request):
+    def __init__(self, addresses, token, send=None):
         self._addresses = addresses
         self._token = token
-        self._send = send
+        self._send = send or _send_request
 
     def send_idempotent(self, method, path, value=None):
         """Send a request that is safe to repeat; return the JSON value of the reply.
@@ -178,6 +180,20 @@
     return OperatorsClient(parsed, token)
 
 
+def _send_request(method, url, **options):
+    """Send a request; return the response, whose content has a bounded length."""
+    parts, size = [], 0
+    with httpcore.stream(method, url, **options) as response:
+        for part in response.iter_stream():
+            size += len(part)
+            if size > _MAX_REPLY_BYTES:
+                raise httpcore.RemoteProtocolError("the reply is too long")
+            parts.append(part)
+        whole = httpcore.Response(response.status, content=b"".join(parts))
+    whole.read()
+    return whole
+
+
 def _parse_reply(address, response):
     """Return the JSON object of a reply, or raise the error that it reports."""
     try:
--- a/kumquatsaddle/commands/tests/ctl.feature
+++ b/kumquatsaddle/commands/tests/ctl.feature
@@ -12,6 +12,11 @@
     And a change that gets no conclusive reply is reported as unknown with its id
     And a change that no instance can have received is reported as not written
 
+  Scenario: An instance that sends a reply without end
+    # Guards against a tool that collects a reply until the memory of its machine is full.
+    Given an instance that sends a reply without end
+    Then a command through the client fails after at most 32 MB
+
   Scenario: Repeating an edit by hand
     # Guards against a repeated edit that reads the version its first attempt wrote and
     # is then accepted a second time.
--- a/kumquatsaddle/commands/tests/steps/ctl.py
+++ b/kumquatsaddle/commands/tests/steps/ctl.py
@@ -1,7 +1,7 @@
 import io
 import json
 import tempfile
-from contextlib import redirect_stderr, redirect_stdout
+from contextlib import asynccontextmanager, redirect_stderr, redirect_stdout
 from pathlib import Path
 
 import httpcore
@@ -15,11 +15,14 @@
     ChangeNotWrittenError,
     ChangeUnknownError,
     ConflictError,
+    PlatformUnavailableError,
 )
 from kumquatsaddle.lifecycle.node import make_node
 from kumquatsaddle.settings.files import load_settings
 from kumquatsaddle.storage.memory import MemoryPlatform
+from kumquatsaddle.testing.loops import start_loop
 from kumquatsaddle.testing.operators import write_settings
+from kumquatsaddle.testing.raw_servers import open_raw_server
 
 _HOUR_SECONDS = 3600.0
 
@@ -196,6 +199,32 @@
     assert code == 10 and "--change-id=mine" in err
 
 
+@asynccontextmanager
+async def open_endless_instance():
+    start = b"HTTP/1.1 200 OK\r\n\r\n["
+    async with trio.open_nursery() as nursery:
+        yield await open_raw_server(nursery, start, b" " * 65536)
+        nursery.cancel_scope.cancel()
+
+
+@given("an instance that sends a reply without end")
+def start_endless_instance(context):
+    context.loop = start_loop(context, open_endless_instance())
+
+
+@then("a command through the client fails after at most 32 MB")
+def check_endless_reply(context):
+    server, address = context.loop.resource
+    client = OperatorsClient([address], "")
+    try:
+        client.send_idempotent("GET", "versions")
+    except PlatformUnavailableError:
+        # The limit of a reply is 16 MiB; the buffers of the connection hold the rest.
+        assert server.sent_bytes <= 32e6, server.sent_bytes
+        return
+    raise AssertionError("the reply was accepted")
+
+
 @then("a change that no instance can have received is reported as not written")
 def check_not_written(context):
     results = [httpcore.ConnectError(), _NOT_WRITTEN] * 2
