Wait in the tests for what they need instead of for a time

The test of an idle connection waits until the reset has arrived, and the raw server behind an instance until the instance uses its address. Without the first a busy machine could write the request before the reset and hang for its time limit; neither was seen.

--- a/deploy/tests/steps/broken_answers.py
+++ b/deploy/tests/steps/broken_answers.py
@@ -34,6 +34,11 @@
 }
 
 
+def uses_server(node, address):
+    server = node.dispatcher.find_server("i-1")
+    return server is not None and server.record.address == address
+
+
 async def replace_server(harness, answer, resets):
     """List a `RawServer` in place of the server of the harness."""
     _, address = await open_raw_server(
@@ -45,6 +50,9 @@
     configuration["Version"] = "0000000d"
     configuration["Resources"][-1]["Spec"]["MaxBodyBytes"] = UPLOAD_BYTES
     harness.store.put("op", "config", configuration)
+    while not uses_server(harness.node, address):
+        await trio.sleep(0.02)
+    # The configuration is watched in the same way as the list of servers.
     await trio.sleep(1.0)
 
 
--- a/kumquatsaddle/dispatch/tests/steps/broken_answers.py
+++ b/kumquatsaddle/dispatch/tests/steps/broken_answers.py
@@ -1,3 +1,4 @@
+import select
 import socket
 import struct
 
@@ -141,6 +142,14 @@
     await stream.aclose()
 
 
+async def wait_for_reset(stream):
+    """Wait until a reset has arrived, without taking its error from the socket."""
+    poll = select.poll()
+    poll.register(stream.socket.fileno(), 0)
+    while not poll.poll(0):
+        await trio.sleep(0.001)
+
+
 async def read_request(server, request):
     """Read a request, or the head of an upload in progress."""
     _, _, body = (await server.receive_some(65536)).partition(b"\r\n\r\n")
@@ -179,6 +188,7 @@
         await server.receive_some(65536)
         await server.send_all(WITHOUT_LENGTH)
         await reset(server)
+        await wait_for_reset(stream)
         stream.first = "writer"
         # Written although bytes have arrived, as if they had come a moment later.
         answer = await try_send(connection, BODY_BYTES[request])
