Log and count who reads the store, and what each takeover waited for

Cause: no line and no counter told which wait delayed a change after the loss of the instances that read the store: the age at which others notice, their turns, or the calls of the one that takes over.

Change: store_reading_started names the age of the newest known read, the turn and the wait for it; counters of the calls by table and result, of readings started and of fetches without an answer.

--- a/kumquatsaddle/discovery/follower.py
+++ b/kumquatsaddle/discovery/follower.py
@@ -20,6 +20,7 @@
     PlatformUnavailableError,
 )
 from kumquatsaddle.logs import log_event
+from kumquatsaddle.metrics import make_metrics
 from kumquatsaddle.sharing.messages import EncodedRow, Update
 from kumquatsaddle.sharing.schedule import RECENT_AGE_SECONDS
 
@@ -75,6 +76,7 @@
     on_routes : callable
         Called with the new `RouteTable` when it has changed.
     clock : callable, default=trio.current_time
+    metrics : Metrics, optional
 
     Attributes
     ----------
@@ -85,7 +87,15 @@
     contact : StoreContact
     """
 
-    def __init__(self, store, peers, on_servers, on_routes, clock=trio.current_time):
+    def __init__(
+        self,
+        store,
+        peers,
+        on_servers,
+        on_routes,
+        clock=trio.current_time,
+        metrics=None,
+    ):
         self.servers = ServerDirectory()
         self.route_directory = RouteDirectory(store)
         self.exchange = None
@@ -95,6 +105,7 @@
         self._on_servers = on_servers
         self._on_routes = on_routes
         self._clock = clock
+        self._metrics = metrics or make_metrics()
         self._store_available = True
         self._fetch_needed = trio.Event()
         self._no_reader_since = None
@@ -195,6 +206,7 @@
     async def _watch(self, table):
         """Watch a table of the store until a peer reads it for this instance."""
         retry_delay = _MIN_RETRY_DELAY_SECONDS
+        self._record_reading_started(table)
         try:
             while self._should_read(table):
                 started = self._clock()
@@ -206,6 +218,7 @@
                     retry_delay = min(2 * retry_delay, _MAX_RETRY_DELAY_SECONDS)
                     continue
                 except HistoryLostError:
+                    self._count_call(table, "history_lost")
                     log_event(
                         "store_history_lost", table=table.name, after=table.version
                     )
@@ -266,12 +279,36 @@
             return now - self._no_reader_since >= delay
         return True
 
+    def _record_reading_started(self, table):
+        """Log since when no instance has read a table that this one reads now."""
+        now, earlier = self._clock(), []
+        ages = [now - table.read_at]
+        for peer in self._peers.list_alive():
+            ages.append(peer.get_read_age(now))
+            if peer.record.name < self._peers.own.name:
+                earlier.append(peer.record.name)
+        since = self._no_reader_since
+        log_event(
+            "store_reading_started",
+            table=table.name,
+            after=table.version,
+            read_age=round(min(ages), 3),
+            turn=len(earlier),
+            turn_waited=round(now - since, 3) if since is not None else 0.0,
+        )
+        self._metrics.count("store_readings_started", table=table.name)
+
+    def _count_call(self, table, result):
+        self._metrics.count("store_calls", table=table.name, result=result)
+
     def _record_store_failure(self, table, error):
+        self._count_call(table, "failed")
         if self._store_available:
             self._store_available = False
             log_event("store_lost", level="WARNING", table=table.name, error=error)
 
     def _record_store_success(self, table, started):
+        self._count_call(table, "answered")
         table.read_at = self._clock()
         table.suspended_seconds = read_suspended_seconds()
         if table.name == "routes":
@@ -356,6 +393,7 @@
                 address, known, after, _FETCH_TIMEOUT_SECONDS, wants_instances
             )
         except MessageError as error:
+            self._metrics.count("fetches_failed")
             log_event("fetch_failed", level="WARNING", error=error)
             return False
         await self._apply_update(update)
@@ -394,6 +432,6 @@
         return False
 
 
-def make_follower(store, peers, on_servers, on_routes):
+def make_follower(store, peers, on_servers, on_routes, metrics=None):
     """Return a follower; see `Follower`."""
-    return Follower(store, peers, on_servers, on_routes)
+    return Follower(store, peers, on_servers, on_routes, metrics=metrics)
--- a/kumquatsaddle/lifecycle/routed_node.py
+++ b/kumquatsaddle/lifecycle/routed_node.py
@@ -135,7 +135,11 @@
         apply_answer_limits(self.dispatcher, settings)
         self.dispatcher.answer_memory.share = self.client_limits.memory.open_own_share()
         self.follower = make_follower(
-            parts.store, self.peers, self._update_servers, self._update_routes
+            parts.store,
+            self.peers,
+            self._update_servers,
+            self._update_routes,
+            self.metrics,
         )
         self.exchange = make_zone_exchange(
             self.peers,
