Read the store in time whichever instances that read for a zone are lost

Cause: four waits added up, each by itself below the bound. The others notice the loss of the reader by the age of its last read, 1.6 s; then each waited 0.12 s for every live instance before it, also for those lost with it, checking every 0.15 s; its first watch got 410, as its own last read was older than the history; and it paused 0.15 s before the whole read. Besides, a read counted as known as soon as it was reported, although its change could no longer be fetched, and an answer read late, over a slow path or after a pause, counted as new.

Change: a reader reports each read at once and watches both tables in step, so that the others need not allow for a report interval: 1.4 s. Turns double and end after 0.2 s, in any zone. A 410 is followed by the whole read at once. A read counts only if all that its reader knew is known here, and as old as its call may have been. The first report of a peer leads to a fetch even if partial. In calm a reader calls for each table every 1.2 s in place of 1.0 s and reports three times in that time, as before.

--- a/kumquatsaddle/discovery/follower.py
+++ b/kumquatsaddle/discovery/follower.py
@@ -2,14 +2,26 @@
 
 One instance of each zone watches the store and reports its versions to the others,
 which fetch the changes from it. An instance that learns of no recent read by a peer
-watches the store itself, so the loss of other instances only costs additional calls.
-One that cannot fetch new routes reads them from the store.
+watches the store itself, so the loss of other instances only costs additional calls;
+`kumquatsaddle.discovery.reading` says when. One that cannot fetch new routes reads them
+from the store.
 """
 
+from dataclasses import replace
+
 import trio
 
 from kumquatsaddle.clocks import read_suspended_seconds
 from kumquatsaddle.discovery.contact import StoreContact
+from kumquatsaddle.discovery.reading import (
+    MIN_CALL_INTERVAL_SECONDS,
+    StoreTable,
+    WatchCycle,
+    compute_check_pause,
+    find_read_due,
+    has_earlier_reader,
+    log_reading_started,
+)
 from kumquatsaddle.discovery.routes import RouteDirectory
 from kumquatsaddle.discovery.servers import ListedRow, ServerDirectory
 from kumquatsaddle.discovery.store import RouteRow
@@ -26,19 +38,9 @@
 
 __all__ = ["Follower", "make_follower"]
 
-# Longest time that the store holds a watch call without a change. This is also the
-# highest normal age of the data at an instance that watches.
-_WATCH_TIMEOUT_SECONDS = 1.0
-# Without a reader in the zone, an instance waits this long for each live instance whose
-# name sorts before its own; then it watches the store itself.
-_TAKEOVER_STEP_SECONDS = 0.12
-_MAX_TAKEOVER_STEPS = 6
-_PEER_CHECK_INTERVAL_SECONDS = 0.15
 # The delay after a failed call doubles with each failure.
 _MIN_RETRY_DELAY_SECONDS = 0.15
 _MAX_RETRY_DELAY_SECONDS = 0.6
-# Between two calls for one table, so that changes in quick succession share a call.
-_MIN_CALL_INTERVAL_SECONDS = 0.25
 # How long reads are confirmed after a loss of history.
 _CONFIRM_READS_SECONDS = 8.0
 _FETCH_TIMEOUT_SECONDS = 0.6
@@ -46,24 +48,6 @@
 _FETCH_PAUSE_SECONDS = 0.01
 
 
-class _Table:
-    """How a table of the store, routes or servers, is read, and its read state."""
-
-    def __init__(self, name, read, watch, confirm, apply_snapshot, apply_changes):
-        self.name = name
-        self.read = read
-        self.watch = watch
-        self.confirm = confirm
-        self.apply_snapshot = apply_snapshot
-        self.apply_changes = apply_changes
-        self.version = None
-        self.read_at = float("-inf")
-        # When it was read, the time in which the machine was suspended.
-        self.suspended_seconds = 0.0
-        self.confirm_until = float("-inf")
-        self.watching = False
-
-
 class Follower:
     """Follows changes of the store, either directly or through a peer.
 
@@ -108,9 +92,9 @@
         self._metrics = metrics or make_metrics()
         self._store_available = True
         self._fetch_needed = trio.Event()
-        self._no_reader_since = None
+        self._cycle = WatchCycle(clock)
         self._tables = (
-            _Table(
+            StoreTable(
                 "routes",
                 store.read_routes,
                 store.watch_routes,
@@ -118,7 +102,7 @@
                 self._apply_route_snapshot,
                 self._apply_route_snapshot,
             ),
-            _Table(
+            StoreTable(
                 "servers",
                 store.read_servers,
                 store.watch_servers,
@@ -144,11 +128,8 @@
 
     def get_read_age(self):
         """Return how long ago this instance last read both tables, in seconds."""
-        now, suspended = self._clock(), read_suspended_seconds()
-        return max(
-            now - table.read_at + suspended - table.suspended_seconds
-            for table in self._tables
-        )
+        now = self._clock() + read_suspended_seconds()
+        return max(now - t.read_at - t.suspended_seconds for t in self._tables)
 
     def fetch_if_newer(self, peer):
         """Trigger a fetch if the report of a peer shows newer versions."""
@@ -201,102 +182,80 @@
                     if not table.watching and self._should_read(table):
                         table.watching = True
                         nursery.start_soon(self._watch, table)
-                await trio.sleep(_PEER_CHECK_INTERVAL_SECONDS)
+                remaining = self._find_read_due() - self._clock()
+                await trio.sleep(compute_check_pause(remaining))
 
     async def _watch(self, table):
         """Watch a table of the store until a peer reads it for this instance."""
         retry_delay = _MIN_RETRY_DELAY_SECONDS
-        self._record_reading_started(table)
+        log_reading_started(table, self._peers, self._clock(), self._find_read_due())
+        self._metrics.count("store_readings_started", table=table.name)
         try:
             while self._should_read(table):
-                started = self._clock()
                 try:
-                    await self._read(table)
+                    answer = await self._read(table)
                 except PlatformUnavailableError as error:
                     self._record_store_failure(table, error)
                     await trio.sleep(retry_delay)
                     retry_delay = min(2 * retry_delay, _MAX_RETRY_DELAY_SECONDS)
                     continue
                 except HistoryLostError:
+                    is_first = table.version is not None
                     self._count_call(table, "history_lost")
                     log_event(
                         "store_history_lost", table=table.name, after=table.version
                     )
                     table.version = None
                     table.confirm_until = self._clock() + _CONFIRM_READS_SECONDS
-                    await trio.sleep(_MIN_RETRY_DELAY_SECONDS)
+                    # The whole table is read at once: a change may be due by now.
+                    if not is_first:
+                        await trio.sleep(_MIN_RETRY_DELAY_SECONDS)
                     continue
                 retry_delay = _MIN_RETRY_DELAY_SECONDS
-                self._record_store_success(table, started)
-                await trio.sleep(
-                    max(0.0, started + _MIN_CALL_INTERVAL_SECONDS - self._clock())
-                )
+                self._record_store_success(table, answer)
+                next_call_at = answer.called_at + MIN_CALL_INTERVAL_SECONDS
+                await trio.sleep(max(0.0, next_call_at - self._clock()))
         finally:
             table.watching = False
 
     async def _read(self, table):
-        if table.version is None:
-            snapshot = await table.read()
-            self.servers.outages.record_own_answer(self._clock())
-            await table.apply_snapshot(snapshot)
+        """Read what is new in a table; return the `StoreAnswer`."""
+        answer = await table.call(self._cycle, self._clock)
+        self.servers.outages.record_own_answer(answer.received_at)
+        # An answer that is received after a pause may have arrived at its start.
+        pause = min(
+            answer.received_at - answer.called_at, self.contact.get_arrival_delay()
+        )
+        answer = replace(answer, delay=max(answer.delay, pause))
+        if answer.is_whole:
+            await table.apply_snapshot(answer.snapshot)
         else:
-            # After a failure or a change of the reader, the store answers at once, so
-            # that all know soon that it is available.
-            is_recent = self._clock() - table.read_at < RECENT_AGE_SECONDS
-            wait = _WATCH_TIMEOUT_SECONDS if is_recent else 0.0
-            snapshot = await table.watch(table.version, wait)
-            self.servers.outages.record_own_answer(self._clock())
-            await table.apply_changes(snapshot)
+            await table.apply_changes(answer.snapshot)
         if table.confirm_until > self._clock():
             # The read after the loss of history may have been stale.
             await table.apply_changes(await table.confirm())
-        table.version = max(table.version or 0, snapshot.version)
+        table.version = max(table.version or 0, answer.snapshot.version)
+        return answer
 
     def _should_read(self, table):
-        """Return whether this instance has to watch the store itself."""
+        """Return whether this instance has to read the store itself."""
         if table.version is None or not self.is_ready():
             return True
         now = self._clock()
-        alive = self._peers.list_alive()
-        readers = [
-            peer.record.name
-            for peer in alive
-            if peer.get_read_age(now) < RECENT_AGE_SECONDS
-        ]
-        own = self._peers.own.name
-        if any(name < own for name in readers):
-            self._no_reader_since = None
-            return False
-        if readers and now - table.read_at > RECENT_AGE_SECONDS:
-            # An instance later in the order of names watches. It remains the reader, so
-            # that the loss of one reader causes only one change.
-            return False
-        if not readers and now - table.read_at > RECENT_AGE_SECONDS:
-            if self._no_reader_since is None:
-                self._no_reader_since = now
-            earlier = sum(peer.record.name < own for peer in alive)
-            delay = min(earlier, _MAX_TAKEOVER_STEPS) * _TAKEOVER_STEP_SECONDS
-            return now - self._no_reader_since >= delay
-        return True
-
-    def _record_reading_started(self, table):
-        """Log since when no instance has read a table that this one reads now."""
-        now, earlier = self._clock(), []
-        ages = [now - table.read_at]
-        for peer in self._peers.list_alive():
-            ages.append(peer.get_read_age(now))
-            if peer.record.name < self._peers.own.name:
-                earlier.append(peer.record.name)
-        since = self._no_reader_since
-        log_event(
-            "store_reading_started",
-            table=table.name,
-            after=table.version,
-            read_age=round(min(ages), 3),
-            turn=len(earlier),
-            turn_waited=round(now - since, 3) if since is not None else 0.0,
+        is_reader = now - table.read_at <= RECENT_AGE_SECONDS
+        # The first of several readers remains. One that is alone remains as well when
+        # an earlier instance returns, so that the loss of one causes only one change.
+        if is_reader and not has_earlier_reader(self._peers, now):
+            return True
+        return now >= self._find_read_due()
+
+    def _find_read_due(self):
+        own_read_at = min(table.read_at for table in self._tables)
+        return find_read_due(
+            self._peers,
+            own_read_at,
+            lambda report: not self._has_newer_versions(report),
         )
-        self._metrics.count("store_readings_started", table=table.name)
 
     def _count_call(self, table, result):
         self._metrics.count("store_calls", table=table.name, result=result)
@@ -307,12 +266,15 @@
             self._store_available = False
             log_event("store_lost", level="WARNING", table=table.name, error=error)
 
-    def _record_store_success(self, table, started):
+    def _record_store_success(self, table, answer):
         self._count_call(table, "answered")
-        table.read_at = self._clock()
+        table.read_at = answer.received_at - answer.delay
         table.suspended_seconds = read_suspended_seconds()
         if table.name == "routes":
-            self.contact.record_own_answer(table.read_at - started)
+            self.contact.record_own_answer(self._clock() - answer.called_at)
+        oldest_read_at = min(table.read_at for table in self._tables)
+        if self._cycle.is_report_due(oldest_read_at) and self.exchange is not None:
+            self.exchange.report_read()
         if not self._store_available:
             self._store_available = True
             log_event("store_regained", table=table.name, version=table.version)
--- a/kumquatsaddle/sharing/exchange.py
+++ b/kumquatsaddle/sharing/exchange.py
@@ -84,6 +84,7 @@
         self._server_is_busy = False
         self._survival_reports = SurvivalReports()
         self._last_round_at = -math.inf
+        self._read_unreported = False
         self._schedule = ReportSchedule(peers)
         # When peers became silent, by instance name.
         self._silent_since = {}
@@ -133,6 +134,11 @@
         self._pending_scope = Scope.ALL
         self._changed.set()
 
+    def report_read(self):
+        """Report a read of the store to all peers now, in place of the next round."""
+        self._read_unreported = True
+        self._changed.set()
+
     def send_summary_soon(self):
         """Send a summary to the other zones if this instance is the zone leader."""
         self._summaries.send_soon()
@@ -234,10 +240,13 @@
                 if now < due:
                     await self._coalesce_changes()
                 scope = Scope.ACTIVE
+            if self._read_unreported:
+                self._schedule.restart()
+                due = now
             if self._pending_scope is not Scope.DUE:
                 scope = self._pending_scope
             self._changed, self._pending_scope = trio.Event(), Scope.DUE
-            self._server_is_busy = False
+            self._server_is_busy = self._read_unreported = False
             if now >= due:
                 self._last_round_at = now
                 self._update_unattended_zones(now)
@@ -248,7 +257,7 @@
         """Wait for further changes unless one has to be reported immediately."""
         due = trio.current_time() + _COALESCE_SECONDS
         soon = trio.current_time() + _BUSY_COALESCE_SECONDS
-        while self._pending_scope is Scope.DUE:
+        while self._pending_scope is Scope.DUE and not self._read_unreported:
             until = soon if self._server_is_busy else due
             if trio.current_time() >= until:
                 break
@@ -404,6 +413,8 @@
         if self._announcements.apply(report):
             # The other zones hear of it from the leader.
             self._summaries.send_soon()
+        # Before anything else: the sender may be lost before its next report.
+        self._node.fetch_if_newer(peer)
         if is_first and report.partial:
             # The totals of the other servers are not known yet; a full report follows.
             return
@@ -417,7 +428,6 @@
             peer.record.name, peer.counts, report, now
         ):
             self._summaries.add_observations(server, observation, number)
-        self._node.fetch_if_newer(peer)
 
     async def _serve_fetch(self, stream):
         """Serve a fetch; silent connections give way to newer ones."""
--- a/kumquatsaddle/sharing/schedule.py
+++ b/kumquatsaddle/sharing/schedule.py
@@ -4,8 +4,8 @@
 what they know decides where requests go. All others are called distant. They only take
 over when a close one is lost, so two distant instances rarely report to each other, and
 the number of datagrams in a zone grows with its close instances rather than with the
-square of all. The leader and any instance that reads the store report to all peers at
-the shortest interval, because the age of their data decides whether others read too.
+square of all. The leader and any instance that reads the store report to all peers
+often, because the age of their data decides whether others read too.
 """
 
 from enum import Enum
@@ -13,14 +13,18 @@
 __all__ = [
     "CLOSE_INTERVAL_SECONDS",
     "MAX_INTERVAL_SECONDS",
+    "READER_INTERVAL_SECONDS",
     "RECENT_AGE_SECONDS",
     "ReportSchedule",
     "Scope",
 ]
 
-# Age up to which data read from the store counts as recent.
-RECENT_AGE_SECONDS = 1.6
-# Between close instances, and from the zone leader and readers of the store to all.
+# Age up to which data read from the store counts as recent. A reader reads every 1.2 s
+# and reports each read at once; the rest is for the delay of the store and of reports.
+RECENT_AGE_SECONDS = 1.4
+# From readers of the store to all, counted from their last read.
+READER_INTERVAL_SECONDS = 0.42
+# Between close instances, and from the zone leader to all.
 CLOSE_INTERVAL_SECONDS = 0.4
 _CLOSE_TO_DISTANT_INTERVAL_SECONDS = 1.2
 _DISTANT_TO_CLOSE_INTERVAL_SECONDS = 1.0
@@ -73,9 +77,19 @@
         self._active = frozenset(record.name for record in active)
         self._leader = self._peers.find_leader()
 
+    def restart(self):
+        """Make a report to each live peer due, from which the intervals count anew."""
+        self._scheduled = {
+            name: scheduled
+            for name, scheduled in self._scheduled.items()
+            if scheduled[1] == _SILENT_PEER_INTERVAL_SECONDS
+        }
+
     def get_round_interval(self):
         """Return the time between two rounds of due reports, in seconds."""
-        if self._is_reader or self._is_close(self._peers.own.name):
+        if self._is_reader:
+            return READER_INTERVAL_SECONDS
+        if self._is_close(self._peers.own.name):
             return CLOSE_INTERVAL_SECONDS
         return _DISTANT_TO_CLOSE_INTERVAL_SECONDS
 
@@ -121,7 +135,9 @@
         own, name = self._peers.own.name, peer.record.name
         if not peer.alive:
             return _SILENT_PEER_INTERVAL_SECONDS
-        if self._is_reader or own == self._leader:
+        if self._is_reader:
+            return READER_INTERVAL_SECONDS
+        if own == self._leader:
             return CLOSE_INTERVAL_SECONDS
         if self._is_close(own):
             return (
--- a/kumquatsaddle/testing/discovery.py
+++ b/kumquatsaddle/testing/discovery.py
@@ -35,6 +35,7 @@
 
 RECORD = ServerRecord("a", 1, "s", Address("127.0.0.1", 1), "z", 6, False)
 _REPORT_INTERVAL_SECONDS = 0.4
+_CALL_TIMEOUT_SECONDS = 1.9
 
 
 def make_instance(name, port=2):
@@ -150,7 +151,16 @@
     def __init__(self, store):
         self._store = store
         self._is_cut = False
+        self._is_silent = False
         self._calls = set()
+        # Delay of each answer, in seconds.
+        self.delay = 0.0
+        # Called without arguments before each call.
+        self.on_call = lambda: None
+
+    def silence(self):
+        """Answer no call any more, neither those in progress nor further ones."""
+        self._is_silent = True
 
     def cut(self):
         """Break the calls in progress and fail the further ones."""
@@ -168,12 +178,18 @@
             return method
 
         async def call(*arguments):
+            self.on_call()
             if self._is_cut:
                 raise PlatformUnavailableError("no path to the store")
             with trio.CancelScope() as scope:
                 self._calls.add(scope)
                 try:
-                    return await method(*arguments)
+                    with trio.move_on_after(_CALL_TIMEOUT_SECONDS):
+                        answer = await method(*arguments)
+                        await trio.sleep(self.delay)
+                        if not self._is_silent:
+                            return answer
+                        await trio.sleep_forever()
                 finally:
                     self._calls.remove(scope)
             raise PlatformUnavailableError("the call was cut off")
@@ -191,14 +207,19 @@
     def report_now(self):
         """Report at the next interval, as if this report were lost."""
 
+    def report_read(self):
+        """Report to all."""
+        self._fleet.report(self._name)
+
     async def fetch(self, address, routes_after, servers_after, timeout, wants):
         """Return the update of the follower at an address."""
         names = [record.name for record in self._fleet.records.values()]
         fetch = Fetch(self._name, routes_after, servers_after, wants)
         for name in names:
-            if name in self._fleet.silent or self._name in self._fleet.silent:
-                continue
             if self._fleet.records[name].control == address:
+                if self._fleet.silent & {name, self._name}:
+                    await trio.sleep(timeout)
+                    break
                 update = self._fleet.followers[name].make_update(fetch)
                 return decode_update(encode_update(update))
         raise MessageError(f"no instance at {address}")
@@ -228,6 +249,7 @@
             name: make_instance(name, port) for port, name in enumerate(names, 2)
         }
         self.silent = set()
+        self._sequence = 0
         self._incarnations = dict.fromkeys(names, 1)
         self.access = {name: PartitionedStore(self.store) for name in names}
         self.followers = {name: self._make_follower(name) for name in names}
@@ -271,21 +293,23 @@
         return follower
 
     async def _report(self):
-        sequence = 0
         while True:
-            sequence += 1
             for name, follower in self.followers.items():
-                if name not in self.silent:
-                    self._deliver_report(name, follower, sequence)
+                self.report(name)
                 follower._peers.expire(trio.current_time())
             await trio.sleep(_REPORT_INTERVAL_SECONDS)
 
-    def _deliver_report(self, name, follower, sequence):
+    def report(self, name):
+        """Deliver a report of an instance to all others unless it is silent."""
+        if name in self.silent:
+            return
+        follower = self.followers[name]
         row = follower.routes_row
+        self._sequence += 1
         report = Report(
             self.records[name],
             self._incarnations[name],
-            sequence,
+            self._sequence,
             True,
             False,
             row.version if row is not None else 0,
