--- a/kumquatsaddle/sharing/tests/exchange.feature
+++ b/kumquatsaddle/sharing/tests/exchange.feature
@@ -71,3 +71,12 @@
     When the load of a server changes at an instance of zone a
     Then its next report lists that server only
     And the others count the change
+
+  Scenario: The first report of a peer leads to a fetch even if it is partial
+    # Guards against a change that nobody fetches from an instance which is lost right
+    # after its first report.
+    Then an instance fetches what the first partial report of a peer names as newer
+
+  Scenario: A report of a read takes the place of a round
+    # Guards against more datagrams in calm by reports that come besides the rounds.
+    Then a reader that reports each of its reads sends no more reports than the rounds
--- a/kumquatsaddle/sharing/tests/steps/exchange.py
+++ b/kumquatsaddle/sharing/tests/steps/exchange.py
@@ -492,3 +492,56 @@
         for number in (0, 2)
     ]
     assert loads == [2, 2], loads
+
+
+def make_lone_instance(number):
+    """Return an exchange that sends nowhere, and the list of what it would send."""
+    address = Address("127.0.0.1", number)
+    instance = Instance(InstanceRecord(f"a-{number}", "a", address, address))
+    sent = []
+    instance.exchange.send = lambda data, address: sent.append(address)
+    return instance, sent
+
+
+@then("an instance fetches what the first partial report of a peer names as newer")
+def check_first_partial(context):
+    async def check():
+        reader, _ = make_lone_instance(1)
+        other, _ = make_lone_instance(2)
+        fetched = []
+        other.exchange._node.fetch_if_newer = fetched.append
+        report = reader.exchange.make_report([], partial=True)
+        other.exchange._handle_report(report, b"", "127.0.0.1")
+        assert [peer.record.name for peer in fetched] == ["a-1"]
+
+    trio.run(check)
+
+
+@then("a reader that reports each of its reads sends no more reports than the rounds")
+def check_reads_reported(context):
+    async def count(reads):
+        reader, sent = make_lone_instance(1)
+        other, _ = make_lone_instance(2)
+        exchange = reader.exchange
+        exchange._node.get_read_age = lambda: 0.5
+        exchange._handle_report(other.exchange.make_report([]), b"", "127.0.0.1")
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(exchange._send_reports)
+            await trio.sleep(0.05)
+            sent.clear()
+            for _ in range(50):
+                await trio.sleep(1.2)
+                # The peer stays alive.
+                exchange._handle_report(
+                    other.exchange.make_report([]), b"", "127.0.0.1"
+                )
+                if reads:
+                    exchange.report_read()
+            nursery.cancel_scope.cancel()
+        return len(sent)
+
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    counts = [trio.run(count, reads, clock=clock) for reads in (False, True)]
+    # Three reports in the 1.2 s between two reads, one of them that of the read, and
+    # 60 s hold 143 rounds of 0.42 s.
+    assert counts[1] <= 150 <= 60 / 0.4, counts
