Keep what is known of reads while newer versions are fetched

Cause: an instance looked only at the latest report of each peer. While it was fetching a change, every report named versions that it did not have yet, so that it knew of no read at all, and read the store by itself. Change: the newest known read stays known.

--- a/kumquatsaddle/discovery/follower.py
+++ b/kumquatsaddle/discovery/follower.py
@@ -18,6 +18,7 @@
     StoreTable,
     WatchCycle,
     compute_check_pause,
+    find_known_read,
     find_read_due,
     has_earlier_reader,
     log_reading_started,
@@ -93,6 +94,7 @@
         self._store_available = True
         self._fetch_needed = trio.Event()
         self._cycle = WatchCycle(clock)
+        self._known_read_at = float("-inf")
         self._tables = (
             StoreTable(
                 "routes",
@@ -250,12 +252,11 @@
         return now >= self._find_read_due()
 
     def _find_read_due(self):
+        # What was known stays known while newer versions are being fetched.
         own_read_at = min(table.read_at for table in self._tables)
-        return find_read_due(
-            self._peers,
-            own_read_at,
-            lambda report: not self._has_newer_versions(report),
-        )
+        peer_read_at = find_known_read(self._peers, self._has_newer_versions)
+        self._known_read_at = max(self._known_read_at, own_read_at, peer_read_at)
+        return find_read_due(self._peers, self._known_read_at)
 
     def _count_call(self, table, result):
         self._metrics.count("store_calls", table=table.name, result=result)
--- a/kumquatsaddle/discovery/reading.py
+++ b/kumquatsaddle/discovery/reading.py
@@ -22,6 +22,7 @@
     "StoreTable",
     "WatchCycle",
     "compute_check_pause",
+    "find_known_read",
     "find_read_due",
     "has_earlier_reader",
     "log_reading_started",
@@ -187,27 +188,38 @@
         return True
 
 
-def find_read_due(peers, own_read_at, is_known):
-    """Return when an instance has to read the store if it hears of no newer read.
+def find_known_read(peers, has_newer):
+    """Return when the store was last read by a peer of which all is known here.
 
     Parameters
     ----------
     peers : PeerTable
-    own_read_at : float
-        When the instance last read the store itself, in seconds.
-    is_known : callable
-        Takes a `Report`; whether all that its sender knows is known here. The read of
-        another one counts only then: its sender may be lost before it is asked.
+    has_newer : callable
+        Takes a `Report`; whether its sender has newer versions than this instance. Then
+        its read does not count: it may be lost before they are fetched.
 
     Returns
     -------
     float
-        In seconds, on the clock of the reports.
+        In seconds, on the clock of the reports; negative infinity if there is none.
+    """
+    times = [
+        peer.heard_at - peer.report.read_age
+        for peer in peers.peers.values()
+        if peer.report is not None and not has_newer(peer.report)
+    ]
+    return max(times, default=float("-inf"))
+
+
+def find_read_due(peers, read_at):
+    """Return when an instance has to read the store if it hears of no newer read.
+
+    Parameters
+    ----------
+    peers : PeerTable
+    read_at : float
+        Time of the newest read of which all is known here, in seconds.
     """
-    read_at = own_read_at
-    for peer in peers.peers.values():
-        if peer.report is not None and is_known(peer.report):
-            read_at = max(read_at, peer.heard_at - peer.report.read_age)
     return read_at + RECENT_AGE_SECONDS + _compute_turn_delay(_count_earlier(peers))
 
 
--- a/kumquatsaddle/discovery/tests/lost_readers.feature
+++ b/kumquatsaddle/discovery/tests/lost_readers.feature
@@ -39,6 +39,13 @@
     When the first 2 are cut off again and again for 1 s and the routes change
     Then the others have the new routes and the drain within 1.75 s of the change
 
+  Scenario: Changes are read by the reader alone
+    # Guards against instances that read the store by themselves while they fetch a
+    # change, because all that they know of reads came with reports of newer versions.
+    Given a fleet of 12 followers whose own last reads are older than the history
+    When the list changes every 0.3 s for 20 s and a fetch takes 0.2 s
+    Then only the reader has called the store
+
   Scenario Outline: The zone of <instances> costs few calls in calm and after a loss
     # Guards against a fast takeover that is paid for with calls of all instances.
     Given a fleet of <instances> followers whose own last reads are older than the history
--- a/kumquatsaddle/discovery/tests/steps/lost_readers.py
+++ b/kumquatsaddle/discovery/tests/steps/lost_readers.py
@@ -211,3 +211,26 @@
         assert calls <= most, calls
 
     run(context, act)
+
+
+@when(
+    "the list changes every {pause:g} s for {seconds:d} s and a fetch takes {time:g} s"
+)
+def change_often(context, pause, seconds, time):
+    async def act(fleet, nursery):
+        reader, *others = fleet.followers
+        fleet.fetch_seconds = time
+        context.callers = set()
+        for name in others:
+            fleet.access[name].on_call = partial(context.callers.add, name)
+        for number in range(int(seconds / pause)):
+            fleet.store.write_server(f"c{number}")
+            await trio.sleep(pause)
+        assert len(fleet.list_servers(others[-1])) > number - 5
+
+    run(context, act)
+
+
+@then("only the reader has called the store")
+def check_callers(context):
+    assert not context.callers, context.callers
--- a/kumquatsaddle/discovery/tests/steps/reading.py
+++ b/kumquatsaddle/discovery/tests/steps/reading.py
@@ -4,7 +4,11 @@
 from hypothesis import given as for_all
 from hypothesis import strategies as st
 
-from kumquatsaddle.discovery.reading import WatchCycle, find_read_due
+from kumquatsaddle.discovery.reading import (
+    WatchCycle,
+    find_known_read,
+    find_read_due,
+)
 from kumquatsaddle.sharing.peers import PeerTable
 from kumquatsaddle.sharing.schedule import RECENT_AGE_SECONDS
 from kumquatsaddle.testing.discovery import make_instance
@@ -64,11 +68,17 @@
     return peers
 
 
+def find_due(peers, own_read_at, has_newer):
+    """Return when an instance reads that last read by itself at a time."""
+    read_at = max(own_read_at, find_known_read(peers, has_newer))
+    return find_read_due(peers, read_at)
+
+
 @then("no instance of any zone waits more than 0.2 s for the others")
 def check_turns(context):
     for count in (2, 4, 75, 520):
         dues = [
-            find_read_due(make_table(own, count), 0.0, lambda report: True)
+            find_due(make_table(own, count), 0.0, lambda report: False)
             for own in {0, 1, 2, 3, count // 2, count - 1}
             if own < count
         ]
@@ -79,5 +89,5 @@
 
 @then("a reader that knows what is not known here delays nothing")
 def check_unknown(context):
-    due = find_read_due(make_table(0, 4), 50.0, lambda report: False)
+    due = find_due(make_table(0, 4), 50.0, lambda report: True)
     assert due == 50.0 + RECENT_AGE_SECONDS
--- a/kumquatsaddle/testing/discovery.py
+++ b/kumquatsaddle/testing/discovery.py
@@ -220,6 +220,7 @@
                 if self._fleet.silent & {name, self._name}:
                     await trio.sleep(timeout)
                     break
+                await trio.sleep(self._fleet.fetch_seconds)
                 update = self._fleet.followers[name].make_update(fetch)
                 return decode_update(encode_update(update))
         raise MessageError(f"no instance at {address}")
@@ -249,6 +250,8 @@
             name: make_instance(name, port) for port, name in enumerate(names, 2)
         }
         self.silent = set()
+        # How long a fetch takes.
+        self.fetch_seconds = 0.0
         self._sequence = 0
         self._incarnations = dict.fromkeys(names, 1)
         self.access = {name: PartitionedStore(self.store) for name in names}
