--- a/kumquatsaddle/discovery/reading.py
+++ b/kumquatsaddle/discovery/reading.py
@@ -40,7 +40,7 @@
 _CHECK_INTERVAL_SECONDS = 0.15
 _TURN_CHECK_SECONDS = 0.02
 _MIN_CHECK_PAUSE_SECONDS = 0.001
-# Of a store so slow that its delay takes up the whole watch, no more is known.
+# Watches get shorter by the delay of the store, at most by this.
 _MAX_CALL_DELAY_SECONDS = 0.4
 
 
