Show that an old heartbeat brings back a server that leaves

Case 13 breaks DRAIN: the store performs a heartbeat 5.9 s after it failed to answer it, and after one with draining. The instances follow the old one, since they compare neither Sequence nor born.

--- a/review/small_deployment.py
+++ b/review/small_deployment.py
@@ -22,6 +22,8 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 LOOPBACK = "127.0.0.1"
+# Start of the loopback addresses of the instances, and number of the first one.
+_INSTANCE_NETWORK, _FIRST_INSTANCE = "127.0.0.", 11
 ZONES = ("north-depot", "river-depot", "south-depot")
 REGION = "westmark"
 HOST = "shop.example"
@@ -347,13 +349,11 @@
         for writer in list(self._connections):
             writer.transport.abort()
 
-    def write_entry(self):
-        """Write the entry now; return the version of the store, or None."""
-        if not self.store.available or not self.writing:
-            return None
+    def make_entry(self):
+        """Return the next heartbeat."""
         self._sequence += 1
         cold = max(0.0, self._cold - (time.time() - self.started))
-        entry = {
+        return {
             "Service": self.service,
             "Address": self.address,
             "Zone": self.zone,
@@ -361,17 +361,31 @@
             "Slots": 8,
             "State": self.state,
             "ColdRemainingMs": int(cold * 1000),
+            "Sequence": self._sequence,
             "born": int(self.started * 1000),
         }
+
+    def write_entry(self):
+        """Write a heartbeat now; return the version of the store, or None."""
+        if not self.store.available or not self.writing:
+            return None
+        return self.apply_heartbeat(self.make_entry())
+
+    def apply_heartbeat(self, entry):
+        """Perform the write of a heartbeat; return the version of the store."""
         # Only more than `Sequence` changes the entry.
-        known = self.store.rows.get(("servers", "", self.name))
-        if known is not None and entry == self._written:
+        fields = {name: value for name, value in entry.items() if name != "Sequence"}
+        is_known = ("servers", "", self.name) in self.store.rows
+        if is_known and fields == self._written:
             self.store.count_heartbeat()
             return self.store.version
-        self._written = entry
-        entry = {**entry, "Sequence": self._sequence}
+        self._written = fields
         return self.store.write("servers", self.name, entry)
 
+    def forget_entry(self):
+        """Write the whole entry with the next heartbeat, whatever is there."""
+        self._written = None
+
     async def _write_heartbeats(self):
         while True:
             self.write_entry()
@@ -443,9 +457,9 @@
             "NodeName": self.name,
             "Zone": self.zone,
             "Region": REGION,
-            "Ip": LOOPBACK,
+            "Ip": addresses["Control"].rsplit(":", 1)[0],
             "Limits": _LIMITS,
-            "Bounds": _BOUNDS,
+            "Bounds": self._deployment.bounds,
             "Listen": {k: addresses[k] for k in ("Front", "Ready", "Directory")},
             "InternalPorts": [
                 int(addresses[name].rsplit(":", 1)[1]) for name in ("Control", "Last")
@@ -457,6 +471,11 @@
         template = (ROOT / "deploy/instance.ini").read_text(encoding="utf-8")
         self.settings_path.write_text(render(template, fields), encoding="utf-8")
 
+    async def kill(self):
+        """Kill the process and wait for its end."""
+        self.send_signal(signal.SIGKILL)
+        await self.process.wait()
+
     async def start(self):
         """Start the process."""
         if not self.settings_path.exists():
@@ -539,8 +558,9 @@
 class Deployment:
     """A store, backend servers and three instances, one of each zone."""
 
-    def __init__(self, record, folder, instances=3):
+    def __init__(self, record, folder, instances=3, bounds=None):
         self.record, self.folder = record, Path(folder)
+        self.bounds = {**_BOUNDS, **(bounds or {})}
         self.store = Store(record)
         self.servers = []
         self.instances = []
@@ -552,10 +572,14 @@
         """Start the store and choose the addresses of the instances."""
         await self.store.start()
         names = ("Front", "Ready", "Directory", "Control", "Last")
-        ports = find_free_ports(len(names) * self._count)
+        # Each instance has an address of its own, all with the same ports.
+        ports = find_free_ports(len(names))
         addresses = [
-            dict(zip(names, (f"{LOOPBACK}:{port}" for port in group), strict=True))
-            for group in zip(*[iter(ports)] * len(names), strict=True)
+            {
+                name: f"{_INSTANCE_NETWORK}{_FIRST_INSTANCE + index}:{port}"
+                for name, port in zip(names, ports, strict=True)
+            }
+            for index in range(self._count)
         ]
         self.seeds = [item["Control"] for item in addresses[:3]]
         for index, item in enumerate(addresses):
@@ -577,9 +601,9 @@
         self.servers.append(server)
         return server
 
-    def write_configuration(self, version, routes, services):
+    def write_configuration(self, version, routes, services, more=()):
         """Write `op/config`; return the time of the acknowledgement."""
-        value = make_configuration(version, routes, services)
+        value = make_configuration(version, [*routes, *more], services)
         store_version = self.store.write("op", "config", value)
         self.record.write(
             f"operator: version {version} acknowledged as {store_version}"
@@ -589,9 +613,13 @@
     async def send(
         self, instance, target, method="GET", body=b"", deadline=5.0, **more
     ):
-        """Send a client's request to an instance; return its id and `Answer`."""
+        """Send a client's request to an instance; return its id and `Answer`.
+
+        `headers` are further headers; `sent` is a dict for the time of the request.
+        """
         self._request_number += 1
         request = f"r{self._request_number:06d}"
+        more.get("sent", {})[request] = time.monotonic()
         headers = [
             ("Host", HOST),
             ("X-Request-Id", request),
@@ -654,21 +682,22 @@
 
 
 def find_free_ports(count):
-    """Return as many free ports."""
+    """Return as many ports that are free at all addresses."""
     sockets = [socket.socket() for _ in range(count)]
     try:
         for item in sockets:
-            item.bind((LOOPBACK, 0))
+            item.bind(("", 0))
         return [item.getsockname()[1] for item in sockets]
     finally:
         for item in sockets:
             item.close()
 
 
-def run_case(case, folder, instances=3):
+def run_case(case, folder, instances=3, bounds=None):
     """Run `case(deployment, trouble)`; return the exit code.
 
-    The case is an async function that returns whether the rule held.
+    The case is an async function that returns whether the rule held. `bounds` are
+    further fields of `Bounds`.
     """
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(folder)
@@ -676,7 +705,7 @@
     temporary = tempfile.mkdtemp(prefix="review-")
 
     async def run():
-        deployment = Deployment(record, temporary, instances)
+        deployment = Deployment(record, temporary, instances, bounds)
         try:
             async with asyncio.timeout(110):
                 await deployment.start()
