Show that a version is never learned after the store's return without a 410

The number from which the instances read on exists again, and they never learn of the version. The store of the cases records each 410; there is none in case 15.

--- a/review/small_deployment.py
+++ b/review/small_deployment.py
@@ -276,6 +276,7 @@
         end = time.monotonic() + int(query["WaitMs"]) / 1000
         while self.available:
             if after > self.version:
+                self.record.write(f"store: 410 to a read after {after}")
                 return 410, {}
             last = {
                 (t, part, key): version
