--- a/review/small_deployment.py
+++ b/review/small_deployment.py
@@ -707,6 +707,8 @@
 
     async def run():
         deployment = Deployment(record, temporary, instances, bounds)
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         try:
             async with asyncio.timeout(110):
                 await deployment.start()
@@ -716,7 +718,7 @@
 
     try:
         held = asyncio.run(run())
-    except (CannotRunError, TimeoutError, OSError) as error:
+    except (CannotRunError, TimeoutError, OSError, asyncio.CancelledError) as error:
         record.write(f"the case couldn't run: {type(error).__name__}: {error}")
         return 2
     finally:
