--- a/review/small_deployment.py
+++ b/review/small_deployment.py
@@ -17,6 +17,7 @@
 import sys
 import tempfile
 import time
+import tomllib
 from pathlib import Path
 from urllib.parse import parse_qs, urlsplit
 
@@ -44,7 +45,8 @@
     "RetryBudgetSlack": 62,
 }
 _LIMITS = {"CpuShare": 0.86, "MemoryMb": 300, "MaxFds": 4100, "LinkMbps": 1000.0}
-_RUN = ["python3", "platform/run.py"]
+# Share of the requests of a case that have to be served; some must be refused.
+_LEAST_SERVED = 0.25
 _PAGE_ROWS = 500
 
 
@@ -485,7 +487,7 @@
         names = ("PATH", "HOME", "LANG")
         environment = {name: os.environ[name] for name in names if name in os.environ}
         self.process = await asyncio.create_subprocess_exec(
-            *_RUN,
+            *read_run_command(),
             f"--settings={self.settings_path}",
             cwd=ROOT,
             env=environment,
@@ -524,6 +526,13 @@
             await self.process.wait()
 
 
+def read_run_command():
+    """Return the words of the run command of the deploy file."""
+    deploy_file = (ROOT / "deploy/system.toml").read_text(encoding="utf-8")
+    (role,) = tomllib.loads(deploy_file)["roles"].values()
+    return role["run"].split()
+
+
 def render(template, fields):
     """Fill in a template whose sections appear only where they have a value."""
 
@@ -574,13 +583,12 @@
         await self.store.start()
         names = ("Front", "Ready", "Directory", "Control", "Last")
         # Each instance has an address of its own, all with the same ports.
-        ports = find_free_ports(len(names))
+        numbers = range(_FIRST_INSTANCE, _FIRST_INSTANCE + self._count)
+        hosts = [f"{_INSTANCE_NETWORK}{number}" for number in numbers]
+        ports = find_free_ports(len(names), hosts)
         addresses = [
-            {
-                name: f"{_INSTANCE_NETWORK}{_FIRST_INSTANCE + index}:{port}"
-                for name, port in zip(names, ports, strict=True)
-            }
-            for index in range(self._count)
+            {name: f"{host}:{port}" for name, port in zip(names, ports, strict=True)}
+            for host in hosts
         ]
         self.seeds = [item["Control"] for item in addresses[:3]]
         for index, item in enumerate(addresses):
@@ -630,8 +638,16 @@
         answer = await send_request(
             instance.front, method, target, headers, body, timeout=deadline
         )
+        self.answers.append(answer.status)
         return request, answer
 
+    def check_service(self):
+        """Raise an error if too few requests were served to say anything."""
+        served = self.answers.count(200)
+        self.record.write(f"{served} of {len(self.answers)} requests got 200")
+        if served < _LEAST_SERVED * len(self.answers):
+            raise CannotRunError("too few requests were served")
+
     def find_run(self, request):
         """Return the names of the servers that ran a request."""
         return [
@@ -682,25 +698,41 @@
     return {"Version": f"{version:08x}", "Resources": resources}
 
 
-def find_free_ports(count):
-    """Return as many ports that are free at all addresses."""
-    sockets = [socket.socket() for _ in range(count)]
+def find_free_ports(count, hosts):
+    """Return as many ports that are free at all of these loopback addresses."""
+    found, held = [], []
     try:
-        for item in sockets:
-            item.bind(("", 0))
-        return [item.getsockname()[1] for item in sockets]
+        while len(found) < count:
+            first = socket.socket()
+            held.append(first)
+            first.bind((hosts[0], 0))
+            port = first.getsockname()[1]
+            if all(_is_free(host, port, held) for host in hosts[1:]):
+                found.append(port)
+        return found
     finally:
-        for item in sockets:
+        for item in held:
             item.close()
 
 
-def run_case(case, folder, instances=3, bounds=None):
+def _is_free(host, port, held):
+    """Return whether a port is free, and hold it if it is."""
+    item = socket.socket()
+    held.append(item)
+    try:
+        item.bind((host, port))
+    except OSError:
+        return False
+    return True
+
+
+def run_case(case, folder, trouble=True, instances=3, bounds=None):
     """Run `case(deployment, trouble)`; return the exit code.
 
-    The case is an async function that returns whether the rule held. `bounds` are
-    further fields of `Bounds`.
+    The case is an async function that returns whether the rule held. `trouble` tells
+    whether the disruption is wanted, `bounds` are further fields of `Bounds`. Whatever
+    else goes wrong than the rule, the case couldn't run.
     """
-    trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(folder)
     record.write(f"disruption: {'yes' if trouble else 'no'}")
     temporary = tempfile.mkdtemp(prefix="review-")
@@ -712,13 +744,15 @@
         try:
             async with asyncio.timeout(110):
                 await deployment.start()
-                return await case(deployment, trouble)
+                held = await case(deployment, trouble)
+                deployment.check_service()
+                return held
         finally:
             await deployment.stop()
 
     try:
         held = asyncio.run(run())
-    except (CannotRunError, TimeoutError, OSError, asyncio.CancelledError) as error:
+    except (Exception, asyncio.CancelledError) as error:
         record.write(f"the case couldn't run: {type(error).__name__}: {error}")
         return 2
     finally:
