--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,6 +1,7 @@
 """CONFIG after the store has come back from an older copy."""
 
 import asyncio
+import os
 import sys
 import time
 from pathlib import Path
@@ -98,4 +99,5 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(case, FOLDER))
+    trouble = os.environ.get("TROUBLE", "1") != "0"
+    sys.exit(run_case(case, FOLDER, trouble))
