--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,6 +1,7 @@
 """DRAIN after the store has come back from an older copy."""
 
 import asyncio
+import os
 import sys
 import time
 from pathlib import Path
@@ -103,4 +104,5 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(case, FOLDER))
+    trouble = os.environ.get("TROUBLE", "1") != "0"
+    sys.exit(run_case(case, FOLDER, trouble))
