--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,6 +1,7 @@
 """DRAIN: a heartbeat that the store didn't answer is performed after a later one."""
 
 import asyncio
+import os
 import sys
 import time
 from pathlib import Path
@@ -93,4 +94,5 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(case, FOLDER))
+    trouble = os.environ.get("TROUBLE", "1") != "0"
+    sys.exit(run_case(case, FOLDER, trouble))
