--- a/review/15/case.py
+++ b/review/15/case.py
@@ -1,6 +1,7 @@
 """CONFIG after the store's return from a copy, without a 410."""
 
 import asyncio
+import os
 import sys
 import time
 from pathlib import Path
@@ -80,4 +81,5 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(case, FOLDER))
+    trouble = os.environ.get("TROUBLE", "1") != "0"
+    sys.exit(run_case(case, FOLDER, trouble))
